--- /dev/null
+++ b/cmd/flamingoreach-host/command/command.go
@@ -0,0 +1,131 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/urfave/cli/v3"
+
+	"flamingoreach/io/backendconn"
+	"flamingoreach/io/boundedwriter"
+	"flamingoreach/io/hostnode"
+	"flamingoreach/io/hostsettings"
+	"flamingoreach/platform"
+)
+
+// The exit codes.
+const (
+	exitFailed     = 1
+	exitWrongUsage = 2
+)
+
+const (
+	// waitingLines is the number of log lines that wait for the output at most.
+	waitingLines = 1024
+	// bodyBytes bounds a request's and an answer's body: the largest that the operators let callers send.
+	bodyBytes = 64 << 20
+	// bodyTime bounds the reading of a body where the request gives no time.
+	bodyTime = 30 * time.Second
+	// memoryPart is the part of the memory limit that the runtime aims to stay below, and garbagePercent the growth of
+	// the heap between collections: memory at its peak is dearer here than processor time.
+	memoryPart     = 0.6
+	garbagePercent = 60
+)
+
+// Main runs the command line and returns the exit code.
+func Main(args []string) int {
+	root := &cli.Command{
+		Name:  "flamingoreach-host",
+		Usage: "the node on the users' platform",
+		Commands: []*cli.Command{
+			{
+				Name: "node", Usage: "run the node beside a backend server until SIGTERM, which drains it",
+				Flags: []cli.Flag{settingsFlag()}, Action: runNode,
+			},
+			{
+				Name: "check", Usage: "check a settings file and print its faults",
+				Flags: []cli.Flag{settingsFlag()}, Action: checkSettings,
+			},
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := root.Run(ctx, args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		if coded, ok := err.(cli.ExitCoder); ok { //nolint:errorlint // the command line returns its errors unwrapped
+			return coded.ExitCode()
+		}
+		return exitWrongUsage
+	}
+	return 0
+}
+
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{Name: "settings", Usage: "settings `FILE` of the platform", Value: platform.SettingsFile()}
+}
+
+func checkSettings(_ context.Context, cmd *cli.Command) error {
+	if _, err := platform.ReadSettings(cmd.String("settings")); err != nil {
+		return cli.Exit(err, exitWrongUsage)
+	}
+	_, err := fmt.Fprintln(cmd.Root().Writer, "the settings are valid")
+	return err
+}
+
+func runNode(ctx context.Context, cmd *cli.Command) error {
+	set, err := platform.ReadSettings(cmd.String("settings"))
+	if err != nil {
+		return cli.Exit(err, exitWrongUsage)
+	}
+	debug.SetGCPercent(garbagePercent)
+	debug.SetMemoryLimit(int64(float64(set.MemoryBytes) * memoryPart))
+	lines := boundedwriter.New(os.Stdout, waitingLines)
+	writing, stopWriting := context.WithCancel(context.Background())
+	written := make(chan error, 1)
+	go func() { written <- lines.Run(writing) }()
+	err = serve(ctx, set, newLogger(lines))
+	stopWriting()
+	if writeErr := <-written; err == nil && writeErr != nil {
+		err = writeErr
+	}
+	if err != nil {
+		return cli.Exit(err, exitFailed)
+	}
+	return nil
+}
+
+// serve composes the node with the platform's translation and runs it.
+func serve(ctx context.Context, set hostsettings.Settings, logger *log.Logger) error {
+	store := platform.NewStore(set.Store)
+	defer store.Close()
+	pool := backendconn.NewPool()
+	backend := &platform.BackendServer{Pool: pool, BodyBytes: bodyBytes}
+	nod := hostnode.New(set, hostnode.Platform{
+		ReadConfiguration: store.ReadConfiguration, FollowConfiguration: store.FollowConfiguration,
+		ReadMembers: store.ReadMembers, WriteMember: store.WriteMember, DeleteMember: store.DeleteMember,
+		Execute: backend.Execute, Sweep: pool.Sweep, Drop: pool.Drop,
+	}, logger)
+	backend.Broke = nod.Broke
+	return nod.Run(ctx, hostnode.Handlers{
+		Callers: &platform.Front{
+			CallerService: set.Service, BodyBytes: bodyBytes, BodyTime: bodyTime, Serve: nod.Serve, Refused: nod.Refused,
+		},
+		Announcements: &platform.Announcements{
+			Service: set.Service, Announced: nod.Announced, Left: nod.Left, Unreadable: nod.Unreadable,
+		},
+		Ready: platform.Ready(nod.TakesWork),
+	})
+}
+
+// newLogger returns a logger of JSON lines.
+func newLogger(wri io.Writer) *log.Logger {
+	return log.NewWithOptions(wri, log.Options{Formatter: log.JSONFormatter, ReportTimestamp: true, TimeFormat: time.RFC3339Nano})
+}
--- /dev/null
+++ b/cmd/flamingoreach-host/command/doc.go
@@ -0,0 +1,2 @@
+// Package command is the command line of the node on the users' platform.
+package command
--- a/core/attempt/runner.go
+++ b/core/attempt/runner.go
@@ -28,8 +28,11 @@
 	Lost      func(id string, candidates []member.Member)
 	Cancelled func(id string)
 	// SpendRetry and EarnRetry keep the node's retry budget.
-	SpendRetry func() bool
-	EarnRetry  func()
+	SpendRetry func(service string) bool
+	EarnRetry  func(service string)
+	// FreeGates is the number of gates that a call may ask one after the other, as long as each refuses it before its
+	// backend server was asked, without spending its allowance or the budget; 0 makes each further gate a retry.
+	FreeGates int
 	// OnRetry is told the reason of each retry.
 	OnRetry func(why reason.Reason)
 	// OnDenied, if set, is told why a retry that could have helped is not made.
@@ -63,7 +66,7 @@
 		"send":            (*course).sendOnce,
 		"refuse":          (*course).refuse,
 		"refuseCancelled": (*course).refuseCancelled,
-		"recordSuccess":   func(cou *course) { cou.run.EarnRetry() },
+		"recordSuccess":   func(cou *course) { cou.run.EarnRetry(cou.cal.Service) },
 		"countRetry":      func(cou *course) { cou.run.OnRetry(cou.refusal.Reason) },
 	})
 
@@ -117,6 +120,7 @@
 	cou.tried = append(cou.tried, cou.chosen.ID)
 	cal := cou.cal
 	cal.Allowance = cou.allowance.LendAllButOne()
+	cal.AtOnce = len(cou.tried) < min(cou.run.FreeGates, len(cou.candidates))
 	cou.run.Sent(cou.chosen.ID)
 	started := time.Now()
 	ans, err := cou.send(cou.ctx, cou.chosen, cal)
@@ -177,7 +181,13 @@
 	if home.Needed(cou.cal) && !home.StandsDown(cou.refusal.Reason) {
 		return false
 	}
-	return cou.refusal.Elsewhere && cou.spend()
+	if !cou.refusal.Elsewhere {
+		return false
+	}
+	if !cou.refusal.Offered && len(cou.tried) < cou.run.FreeGates {
+		return cou.mayGoOn()
+	}
+	return cou.spend()
 }
 
 // mayRepeat allows another attempt though the call may have run.
@@ -185,19 +195,25 @@
 	return cou.cal.Idempotent && cou.refusal.Reason != reason.Quarantined && cou.spend()
 }
 
-func (cou *course) spend() bool {
+// mayGoOn reports whether there is time and a member left for another attempt.
+func (cou *course) mayGoOn() bool {
 	if cou.ctx.Err() != nil || !time.Now().Before(cou.cal.Deadline) {
 		return false
 	}
+	_, found := cou.run.Choose(cou.cal, cou.candidates, cou.tried)
+	return found
+}
+
+func (cou *course) spend() bool {
 	// A choice is looked for first, so that no attempt is spent in vain.
-	if _, found := cou.run.Choose(cou.cal, cou.candidates, cou.tried); !found {
+	if !cou.mayGoOn() {
 		return false
 	}
 	switch {
 	case cou.allowance.Left() == 0:
 		cou.denied(reason.AllowanceSpent)
 		return false
-	case !cou.run.SpendRetry():
+	case !cou.run.SpendRetry(cou.cal.Service):
 		cou.denied(reason.RetryBudgetSpent)
 		return false
 	}
--- a/core/attempt/runner_test.go
+++ b/core/attempt/runner_test.go
@@ -37,8 +37,8 @@
 		Answered:   pic.Answered,
 		Lost:       pic.Lost,
 		Cancelled:  pic.Cancelled,
-		SpendRetry: func() bool { return true },
-		EarnRetry:  func() {},
+		SpendRetry: func(string) bool { return true },
+		EarnRetry:  func(string) {},
 		OnRetry:    func(reason.Reason) {},
 	}
 }
@@ -104,7 +104,7 @@
 		run := newRunner(4)
 		var denied []reason.Reason
 		run.OnDenied = func(why reason.Reason) { denied = append(denied, why) }
-		run.SpendRetry = func() bool { return false }
+		run.SpendRetry = func(string) bool { return false }
 		run.Run(t.Context(), newCall(true), allowance.New(extra), func(_ context.Context, _ member.Member, cal call.Call) (answer.Answer, error) {
 			return refused(cal, outcome.NotRun, true), nil
 		})
--- a/core/call/call.go
+++ b/core/call/call.go
@@ -27,6 +27,14 @@
 	Deadline       time.Time `json:"deadline"`
 	// Allowance is the number of extra attempts that the call and all calls below it may still make.
 	Allowance int `json:"allowance"`
+	// RequestID is the caller's own name for this attempt of it, passed on as it came; empty if it gave none.
+	RequestID string `json:"requestId,omitempty"`
+	// CallerService is the service of the host at which the call began; empty where callers are not on hosts.
+	CallerService string `json:"callerService,omitempty"`
+	// QueueWait bounds the time that the call waits at a gate, if it is shorter than the gate's own; 0 sets no bound.
+	QueueWait time.Duration `json:"queueWait,omitempty"`
+	// AtOnce says that the call does not wait at a gate whose slots are in use, because others can be asked.
+	AtOnce bool `json:"atOnce,omitempty"`
 	// Fingerprint identifies the content of the call for the quarantine of crashing calls.
 	Fingerprint uint64 `json:"fingerprint"`
 }
--- a/core/clientaccount/clientaccount.go
+++ b/core/clientaccount/clientaccount.go
@@ -13,5 +13,7 @@
 	Weight float64
 	// PriorityBoost is added to the route's priority.
 	PriorityBoost int
-	Keys          []keyhash.Hash
+	// Priority, where set, takes the place of the route's.
+	Priority *int
+	Keys     []keyhash.Hash
 }
--- /dev/null
+++ b/core/configurationfeed/feed.go
@@ -0,0 +1,133 @@
+package configurationfeed
+
+import (
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"flamingoreach/charts"
+	"flamingoreach/core/configuration"
+	"flamingoreach/core/configurationfeed/reading"
+	"flamingoreach/core/machine"
+)
+
+const (
+	// firstPause and longestPause bound the time between two requests to a store that does not answer.
+	firstPause   = 200 * time.Millisecond
+	longestPause = 1600 * time.Millisecond
+)
+
+// Feed is control state; its methods are called on the control thread only.
+type Feed struct {
+	// Read starts a reading of the whole configuration; its end comes back as Answered.
+	Read func()
+	// Follow starts a request that the store answers at the next change after a revision, or after a while; its end
+	// comes back as Answered.
+	Follow func(revision uint64)
+	// Publish is given each newer version.
+	Publish func(cfg *configuration.Configuration, source string)
+	// Lost is told that the store stopped answering, Regained that it answers again after so long.
+	Lost     func(err error)
+	Regained func(after time.Duration)
+	// Random returns a number from 0 to 1.
+	Random func() float64
+
+	state    string
+	revision uint64
+	current  *configuration.Configuration
+	answer   reading.Reading
+	err      error
+	due      time.Time
+	pause    time.Duration
+	lostAt   time.Time
+}
+
+var chart = machine.MustNew(charts.Must("configurationFeed"),
+	[]string{"due", "read", "changed", "failed", "expired"}, nil,
+	map[string]func(*Feed){
+		"read":   func(fee *Feed) { fee.Read() },
+		"follow": func(fee *Feed) { fee.Follow(fee.revision) },
+		"accept": (*Feed).accept,
+		"regain": (*Feed).regain,
+		"lose":   (*Feed).lose,
+	})
+
+// New returns a feed that knows no version.
+func New() *Feed { return &Feed{state: chart.Initial(), Random: rand.Float64} }
+
+// State returns the state of the chart configurationFeed.
+func (fee *Feed) State() string { return fee.state }
+
+// Version returns the number of the version in force, or 0.
+func (fee *Feed) Version() uint64 {
+	if fee.current == nil {
+		return 0
+	}
+	return fee.current.Version
+}
+
+// Current returns the version in force, or nil.
+func (fee *Feed) Current() *configuration.Configuration { return fee.current }
+
+// Tick asks the store where that is due.
+func (fee *Feed) Tick() {
+	if !time.Now().Before(fee.due) {
+		fee.fire("due")
+	}
+}
+
+// Answered takes the store's answer to the request under way.
+func (fee *Feed) Answered(answer reading.Reading, err error) {
+	fee.answer, fee.err = answer, err
+	switch {
+	case errors.Is(err, reading.ErrHistoryGone):
+		fee.fire("expired")
+	case err != nil:
+		fee.fire("failed")
+	case fee.state == "reading":
+		fee.fire("read")
+	default:
+		fee.fire("changed")
+	}
+}
+
+// Heard takes a version from another node.
+func (fee *Feed) Heard(cfg *configuration.Configuration) { fee.offer(cfg, "peer") }
+
+func (fee *Feed) accept() {
+	fee.revision = max(fee.revision, fee.answer.Revision)
+	if fee.answer.Configuration != nil {
+		fee.offer(fee.answer.Configuration, "store")
+	}
+}
+
+// offer puts a version in force if it is newer than the present one.
+func (fee *Feed) offer(cfg *configuration.Configuration, source string) {
+	if fee.current != nil && cfg.Version <= fee.current.Version {
+		return
+	}
+	fee.current = cfg
+	fee.Publish(cfg, source)
+}
+
+func (fee *Feed) regain() {
+	fee.pause = 0
+	if fee.lostAt.IsZero() {
+		return
+	}
+	fee.Regained(time.Since(fee.lostAt))
+	fee.lostAt = time.Time{}
+}
+
+// lose sets the pause before the next request, with jitter so that a fleet does not return at one moment.
+func (fee *Feed) lose() {
+	now := time.Now()
+	fee.pause = min(max(2*fee.pause, firstPause), longestPause)
+	fee.due = now.Add(time.Duration((0.5 + fee.Random()) * float64(fee.pause)))
+	if fee.lostAt.IsZero() {
+		fee.lostAt = now
+		fee.Lost(fee.err)
+	}
+}
+
+func (fee *Feed) fire(event string) { fee.state = chart.Fire(fee, fee.state, event) }
--- /dev/null
+++ b/core/configurationfeed/reading/doc.go
@@ -0,0 +1,2 @@
+// Package reading describes what the platform's store answers about the configuration.
+package reading
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -14,7 +14,7 @@
 type Directory struct {
 	version  uint64
 	prepared uint64
-	// Routes are by path prefix, each list with the entries of one prefix.
+	// Routes are by host and path prefix, each list with the entries of one prefix.
 	routes   map[string][]route.Route
 	accounts []clientaccount.ClientAccount
 	// Closed routes are by name; a name with several entries is closed if one of them is.
@@ -42,7 +42,8 @@
 		accounts = stricterAccounts(cfg.Accounts, prepared.Accounts)
 	}
 	for _, rou := range routes {
-		dir.routes[rou.PathPrefix] = append(dir.routes[rou.PathPrefix], rou)
+		place := rou.Host + rou.PathPrefix
+		dir.routes[place] = append(dir.routes[place], rou)
 		dir.closed[rou.Name] = dir.closed[rou.Name] || !rou.Open
 	}
 	dir.accounts = accounts
@@ -90,6 +91,20 @@
 	return pick(dir.routes["/"], method)
 }
 
+// HostRoute returns the route of a host with the longest prefix that begins the path and takes the method; such
+// prefixes begin and end with a slash.
+func (dir *Directory) HostRoute(host, method, path string) (route.Route, bool) {
+	if end := strings.IndexAny(path, "?#"); end >= 0 {
+		path = path[:end]
+	}
+	for slash := strings.LastIndexByte(path, '/'); slash >= 0; slash = strings.LastIndexByte(path[:slash], '/') {
+		if rou, found := pick(dir.routes[host+path[:slash+1]], method); found {
+			return rou, true
+		}
+	}
+	return route.Route{}, false
+}
+
 // OpenRoute reports whether a route of that name exists and needs no key anywhere; gates ask it for calls without one.
 func (dir *Directory) OpenRoute(name string) bool {
 	closed, known := dir.closed[name]
--- a/core/gate/crash.go
+++ b/core/gate/crash.go
@@ -78,5 +78,9 @@
 		fli.ended = now
 		gat.failed = append(gat.failed[max(0, len(gat.failed)+1-maxFailed):], fli)
 	}
+	if gat.pol.RepeatSuspects && !gat.qua.Holds(fli.call.Fingerprint, now) {
+		ans.Refusal = refusal.Unknown(reason.BackendServerDown, "gate.suspect")
+		return
+	}
 	ans.Refusal = refusal.Unknown(reason.Quarantined, "gate.suspect")
 }
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -10,6 +10,7 @@
 	"flamingoreach/core/answer"
 	"flamingoreach/core/call"
 	"flamingoreach/core/dedupe"
+	"flamingoreach/core/deepercalls"
 	"flamingoreach/core/gatepolicy"
 	"flamingoreach/core/gatestats"
 	"flamingoreach/core/limit"
@@ -66,11 +67,13 @@
 	running map[*flight]struct{}
 	// held is the number of slots in use, those of calls that are about to run included.
 	held int
-	lim  *limit.Limit
-	del  standingdelay.Delay
-	lev  *admissionlevel.Level
-	ded  *dedupe.Table
-	qua  *quarantine.List
+	// deeper follows the calls of work that runs elsewhere, for which slots are kept.
+	deeper deepercalls.Count
+	lim    *limit.Limit
+	del    standingdelay.Delay
+	lev    *admissionlevel.Level
+	ded    *dedupe.Table
+	qua    *quarantine.List
 	// failed holds the calls that the backend server lost of late; their process may be found dead later.
 	failed []*flight
 	// service is the moving average of the time that calls ran.
@@ -177,7 +180,7 @@
 func (gat *Gate) fire(event string) { gat.state = lifecycle.Fire(gat, gat.state, event) }
 
 func (gat *Gate) refuseWaiting() {
-	for wai := gat.que.Pop(); wai != nil; wai = gat.que.Pop() {
+	for wai := gat.que.Pop(false); wai != nil; wai = gat.que.Pop(false) {
 		wai.Ready <- elsewhere(reason.BackendServerDown, "gate.crashed")
 	}
 }
--- a/core/gate/run.go
+++ b/core/gate/run.go
@@ -68,7 +68,7 @@
 	}
 	if ref == nil {
 		if ref = gat.recheck(ctx, cal); ref != nil {
-			gat.release()
+			gat.release(cal)
 		}
 	}
 	if ref != nil {
@@ -116,11 +116,14 @@
 	if !now.Before(cal.Deadline) {
 		return nil, refusal.NotRun(reason.DeadlineExceeded, "gate.enter")
 	}
-	if gat.held < gat.limit() && gat.que.Len() == 0 {
-		gat.held++
+	if gat.free(cal.Depth > 0, now) && gat.que.Ahead(cal.Priority) == 0 {
+		gat.take(cal.Depth > 0, now)
 		gat.del.Observe(0)
 		return nil, nil
 	}
+	if cal.AtOnce {
+		return nil, elsewhere(reason.SlotsInUse, "gate.enter")
+	}
 	if gat.pol.On(gatepolicy.AdmissionLevel) && !gat.lev.Admits(cal.Priority) && gat.que.Beyond(cal.Account) {
 		return nil, overloaded(reason.AdmissionLevel, "gate.enter")
 	}
@@ -128,6 +131,7 @@
 		return nil, elsewhere(reason.DeadlineTooShort, "gate.enter")
 	}
 	wai := queue.NewWaiter(cal.Account, cal.Priority, now)
+	wai.Deeper = cal.Depth > 0
 	switch vic := gat.que.Push(wai); {
 	case vic == wai:
 		return nil, overloaded(reason.QueueFull, "gate.enter")
@@ -155,7 +159,7 @@
 
 // await returns nil when it is the waiter's turn, or the refusal.
 func (gat *Gate) await(ctx context.Context, cal call.Call, wai *queue.Waiter) *refusal.Refusal {
-	why, until := reason.QueueTimeout, wai.Arrived.Add(gat.queueWait())
+	why, until := reason.QueueTimeout, wai.Arrived.Add(gat.queueWait(cal))
 	if cal.Deadline.Before(until) {
 		why, until = reason.DeadlineExceeded, cal.Deadline
 	}
@@ -168,11 +172,11 @@
 	case <-ctx.Done():
 		why = reason.Cancelled
 	}
-	return gat.leave(wai, why)
+	return gat.leave(cal, wai, why)
 }
 
 // leave gives up a waiter's place, or the slot that it was given at the same moment.
-func (gat *Gate) leave(wai *queue.Waiter, why reason.Reason) *refusal.Refusal {
+func (gat *Gate) leave(cal call.Call, wai *queue.Waiter, why reason.Reason) *refusal.Refusal {
 	gat.mut.Lock()
 	removed := gat.que.Remove(wai)
 	gat.signalIdle()
@@ -181,7 +185,7 @@
 		if ref := <-wai.Ready; ref != nil {
 			return ref
 		}
-		gat.release()
+		gat.release(cal)
 	}
 	if why == reason.QueueTimeout {
 		return overloaded(why, "gate.await")
@@ -189,9 +193,13 @@
 	return refusal.NotRun(why, "gate.await")
 }
 
-func (gat *Gate) queueWait() time.Duration {
+// queueWait returns the time that a call may wait.
+func (gat *Gate) queueWait(cal call.Call) time.Duration {
 	gat.mut.Lock()
 	defer gat.mut.Unlock()
+	if cal.QueueWait > 0 {
+		return min(cal.QueueWait, gat.pol.QueueWait)
+	}
 	return gat.pol.QueueWait
 }
 
@@ -225,7 +233,7 @@
 	}
 	gat.judge(fli, ans, now)
 	delete(gat.running, fli)
-	gat.held--
+	gat.giveBack(fli.call)
 	gat.endIntervals(now)
 	gat.dispatch()
 	gat.signalIdle()
@@ -243,23 +251,52 @@
 	}
 }
 
+// free reports whether a call may have a slot now. Some slots are kept for deeper calls: what their callers have
+// done already is lost if they are refused.
+func (gat *Gate) free(deeper bool, now time.Time) bool {
+	if deeper {
+		return gat.held < gat.limit()
+	}
+	kept := min(gat.deeper.Kept(now), int(gat.pol.KeptForDeeper*float64(gat.limit())))
+	return gat.held+kept < gat.limit()
+}
+
+// take gives a slot to a call.
+func (gat *Gate) take(deeper bool, now time.Time) {
+	gat.held++
+	if deeper {
+		gat.deeper.Began(now)
+	}
+}
+
+// giveBack frees the slot of a call.
+func (gat *Gate) giveBack(cal call.Call) {
+	gat.held--
+	if cal.Depth > 0 {
+		gat.deeper.Ended()
+	}
+}
+
 // release gives up a slot whose call did not run.
-func (gat *Gate) release() {
+func (gat *Gate) release(cal call.Call) {
 	gat.mut.Lock()
 	defer gat.mut.Unlock()
-	gat.held--
+	gat.giveBack(cal)
 	gat.dispatch()
 	gat.signalIdle()
 }
 
 // dispatch gives free slots to waiting calls.
 func (gat *Gate) dispatch() {
-	for gat.held < gat.limit() {
-		wai := gat.que.Pop()
+	for now := time.Now(); ; {
+		if !gat.free(true, now) {
+			return
+		}
+		wai := gat.que.Pop(!gat.free(false, now))
 		if wai == nil {
 			return
 		}
-		gat.held++
+		gat.take(wai.Deeper, now)
 		gat.del.Observe(gat.drainTime())
 		wai.Ready <- nil
 	}
--- a/core/gatepolicy/gatepolicy.go
+++ b/core/gatepolicy/gatepolicy.go
@@ -50,6 +50,10 @@
 	KeptCalls int
 	// KeptBytes bounds the size of all answers that are remembered, in bytes.
 	KeptBytes int
+	// KeptForDeeper is the largest part of the slots that is kept free for calls of work that runs elsewhere.
+	KeptForDeeper float64
+	// RepeatSuspects lets a call that ran at one crash be repeated elsewhere, because most such calls are innocent.
+	RepeatSuspects bool
 	// Off is the set of mechanisms that are switched off.
 	Off Mechanism
 }
--- a/core/localserver/server.go
+++ b/core/localserver/server.go
@@ -1,6 +1,7 @@
 package localserver
 
 import (
+	"slices"
 	"time"
 
 	"flamingoreach/charts"
@@ -11,6 +12,9 @@
 // SilenceLimit is the time without an announcement after which a backend server counts as gone.
 const SilenceLimit = 5 * time.Second
 
+// formerKept bounds the IDs of earlier processes that are remembered.
+const formerKept = 16
+
 // The states of the chart localServer.
 const (
 	Absent   = "absent"
@@ -30,6 +34,10 @@
 	state     string
 	latest    announcement.Announcement
 	announced time.Time
+	// leaving says that the present process has taken itself off.
+	leaving bool
+	// former lists the IDs of earlier processes, whose announcements may still arrive.
+	former []string
 }
 
 var chart = machine.MustNew(charts.Must("localServer"),
@@ -49,18 +57,50 @@
 // Latest returns the latest announcement.
 func (ser *Server) Latest() announcement.Announcement { return ser.latest }
 
-// Announced takes an announcement; one of an earlier process than the latest is ignored.
-func (ser *Server) Announced(ann announcement.Announcement) {
-	if ann.Started.Before(ser.latest.Started) {
-		return
+// Announced takes an announcement and reports whether it was news: one of an earlier process than the latest, or one
+// that a later one of the same process has overtaken, is ignored.
+func (ser *Server) Announced(ann announcement.Announcement) bool {
+	another := ann.Started.After(ser.latest.Started) || ann.ID != ser.latest.ID
+	if ann.Started.Before(ser.latest.Started) || ser.isFormer(ann) ||
+		!another && ann.Sequence != 0 && ann.Sequence <= ser.latest.Sequence {
+		return false
+	}
+	if ann.ID != ser.latest.ID && ser.latest.ID != "" {
+		ser.former = append(ser.former, ser.latest.ID)
+		ser.former = ser.former[max(len(ser.former)-formerKept, 0):]
+	}
+	if another {
+		ser.leaving = false
 	}
-	restarted := ser.state != Absent && ann.Started.After(ser.latest.Started)
+	restarted := ser.state != Absent && another
 	ser.latest = ann
 	ser.announced = time.Now()
 	if restarted {
 		ser.fire("restarted")
 	}
+	if ser.leaving {
+		ser.fire(Draining)
+		return true
+	}
 	ser.fire(ann.State)
+	return true
+}
+
+// isFormer reports whether an announcement comes from a process that another one has followed.
+func (ser *Server) isFormer(ann announcement.Announcement) bool {
+	return slices.Contains(ser.former, ann.ID) && !ann.Started.After(ser.latest.Started)
+}
+
+// Leaving says that the process with an ID takes no more work, whatever it announces later; it reports whether that
+// is the present one.
+func (ser *Server) Leaving(id string) bool {
+	if id != ser.latest.ID {
+		return false
+	}
+	ser.leaving = true
+	ser.announced = time.Now()
+	ser.fire(Draining)
+	return true
 }
 
 // Broken says that connections to the backend server are refused.
--- a/core/pick/observation.go
+++ b/core/pick/observation.go
@@ -8,6 +8,7 @@
 	"flamingoreach/core/answer"
 	"flamingoreach/core/home"
 	"flamingoreach/core/machine"
+	"flamingoreach/core/reason"
 )
 
 const (
@@ -43,6 +44,8 @@
 	levels    map[string]levelReport
 	capFree   bool
 	awayUntil time.Time
+	// routes holds the latency of each route's calls, which differ in their work.
+	routes map[string]routeLatency
 }
 
 type levelReport struct {
@@ -99,6 +102,9 @@
 		if home.StandsDown(ans.Refusal.Reason) {
 			obs.awayUntil = obs.reported.Add(awayTime)
 		}
+		if ans.Refusal.Reason == reason.BackendServerFailed {
+			obs.state = ejection.Fire(obs, obs.state, "failed")
+		}
 		return
 	}
 	obs.latency += time.Duration(float64(elapsed-obs.latency) * latencyWeight)
@@ -110,6 +116,7 @@
 	defer obs.mux.Unlock()
 	obs.inFlight--
 	obs.capFree = capFree
+	obs.awayUntil = time.Now().Add(awayTime)
 	obs.state = ejection.Fire(obs, obs.state, "failed")
 }
 
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -113,19 +113,23 @@
 	return vic
 }
 
-// Pop removes and returns the waiter whose turn it is, or nil.
-func (que *Queue) Pop() *Waiter {
-	if que.waiting == 0 {
-		return nil
-	}
-	que.turns++
-	guaranteed := que.turns%guaranteedEvery == 0
+// Pop removes and returns the waiter whose turn it is, or nil; on demand it looks at deeper calls only.
+func (que *Queue) Pop(onlyDeeper bool) *Waiter {
+	guaranteed := (que.turns+1)%guaranteedEvery == 0
 	var best *Waiter
 	for _, ten := range que.active {
-		if wai := ten.most(); best == nil || que.precedes(wai, best, guaranteed) {
+		wai := ten.most()
+		if onlyDeeper && !wai.Deeper {
+			continue
+		}
+		if best == nil || que.precedes(wai, best, guaranteed) {
 			best = wai
 		}
 	}
+	if best == nil {
+		return nil
+	}
+	que.turns++
 	ten := best.line.owner
 	ten.served = max(ten.served, que.now) + 1/ten.weight
 	que.Remove(best)
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -36,7 +36,7 @@
 	}
 	count := map[string]int{}
 	for range 200 {
-		count[que.Pop().Account]++
+		count[que.Pop(false).Account]++
 	}
 	require.InDelta(t, 150, count["a"], 1)
 }
@@ -47,7 +47,7 @@
 	for turn := range 1000 {
 		que.Push(newWaiter("flood", 9))
 		que.Push(newWaiter("b", 0))
-		if que.Pop().Account == "b" {
+		if que.Pop(false).Account == "b" {
 			served++
 		}
 		_ = turn
@@ -77,7 +77,7 @@
 		waiting := map[*queue.Waiter]bool{}
 		for range rapid.IntRange(1, 300).Draw(rt, "steps") {
 			if rapid.IntRange(0, 3).Draw(rt, "step") == 0 {
-				wai := que.Pop()
+				wai := que.Pop(false)
 				require.Equal(rt, len(waiting) > 0, wai != nil)
 				delete(waiting, wai)
 				continue
@@ -129,7 +129,7 @@
 		require.Equal(t, 5, vic.Priority)
 	}
 	require.Equal(t, 10, que.Len())
-	require.Equal(t, 7, que.Pop().Priority)
+	require.Equal(t, 7, que.Pop(false).Priority)
 }
 
 func TestInOrderNeitherAccountNorPriorityCounts(t *testing.T) {
@@ -141,7 +141,7 @@
 	late := newWaiter("c", 9)
 	require.Same(t, late, que.Push(late))
 	for priority := 1; priority <= 3; priority++ {
-		require.Equal(t, priority, que.Pop().Priority)
+		require.Equal(t, priority, que.Pop(false).Priority)
 	}
 }
 
@@ -153,7 +153,7 @@
 	b.ReportAllocs()
 	for index := 0; b.Loop(); index++ {
 		que.Push(newWaiter(accounts[index%8], index%3))
-		que.Pop()
+		que.Pop(false)
 	}
 }
 
--- a/core/queue/waiter.go
+++ b/core/queue/waiter.go
@@ -11,6 +11,8 @@
 	Account  string
 	Priority int
 	Arrived  time.Time
+	// Deeper says that the call belongs to work that runs elsewhere.
+	Deeper bool
 	// Ready yields nil when the call may run and a refusal when it was shed; it has room for one value.
 	Ready chan *refusal.Refusal
 
--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -17,6 +17,8 @@
 	RetryAfter time.Duration `json:"retryAfter,omitempty"`
 	// Elsewhere says that another backend server of the service may accept the call.
 	Elsewhere bool `json:"elsewhere,omitempty"`
+	// Offered says that a backend server itself refused the call, so that another attempt is a repeat there.
+	Offered bool `json:"offered,omitempty"`
 	// Step and Peer name where the refusal arose; Peer is the zero value for a local decision.
 	Step string         `json:"step"`
 	Peer netip.AddrPort `json:"peer,omitzero"`
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -1,6 +1,8 @@
 package view
 
 import (
+	"net/netip"
+
 	"flamingoreach/core/configuration"
 	"flamingoreach/core/directory"
 	"flamingoreach/core/home"
@@ -44,6 +46,17 @@
 // All returns all members of a service, those that take no new work included.
 func (vie *View) All(service string) []member.Member { return vie.all[service] }
 
+// Peers returns the addresses of the other nodes of a service.
+func (vie *View) Peers(service string) []netip.AddrPort {
+	var peers []netip.AddrPort
+	for _, mem := range vie.all[service] {
+		if mem.ID != vie.Self.ID {
+			peers = append(peers, mem.Peer)
+		}
+	}
+	return peers
+}
+
 // WithConfiguration returns a copy with another configuration.
 func (vie *View) WithConfiguration(cfg *configuration.Configuration, dir *directory.Directory) *View {
 	next := *vie
--- /dev/null
+++ b/io/decisionlog/log.go
@@ -0,0 +1,55 @@
+package decisionlog
+
+import (
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+)
+
+// burstTime is the time whose lines may be written at once.
+const burstTime = 2 * time.Second
+
+// Log writes lines of one kind; it is safe for concurrent use.
+type Log struct {
+	logger *log.Logger
+	rate   float64
+
+	mut     sync.Mutex
+	tokens  float64
+	filled  time.Time
+	omitted uint64
+}
+
+// New returns a log that writes up to a number of lines a second.
+func New(logger *log.Logger, perSecond float64) *Log {
+	return &Log{logger: logger, rate: perSecond, tokens: perSecond * burstTime.Seconds(), filled: time.Now()}
+}
+
+// Write writes a line with its fields, or leaves it out; the next line that is written tells how many were.
+func (dec *Log) Write(message string, fields ...any) {
+	omitted, may := dec.take()
+	if !may {
+		return
+	}
+	if omitted > 0 {
+		fields = append(fields, "omitted", omitted)
+	}
+	dec.logger.Info(message, fields...)
+}
+
+// take reports whether a line may be written, and how many were left out before it.
+func (dec *Log) take() (omitted uint64, may bool) {
+	dec.mut.Lock()
+	defer dec.mut.Unlock()
+	now := time.Now()
+	dec.tokens = min(dec.tokens+dec.rate*now.Sub(dec.filled).Seconds(), dec.rate*burstTime.Seconds())
+	dec.filled = now
+	if dec.tokens < 1 {
+		dec.omitted++
+		return 0, false
+	}
+	dec.tokens--
+	omitted, dec.omitted = dec.omitted, 0
+	return omitted, true
+}
--- /dev/null
+++ b/io/hostnode/calls.go
@@ -0,0 +1,215 @@
+package hostnode
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"flamingoreach/core/admission"
+	"flamingoreach/core/allowance"
+	"flamingoreach/core/answer"
+	"flamingoreach/core/attempt"
+	"flamingoreach/core/authentication"
+	"flamingoreach/core/call"
+	"flamingoreach/core/clientaccount"
+	"flamingoreach/core/configuration"
+	"flamingoreach/core/member"
+	"flamingoreach/core/outcome"
+	"flamingoreach/core/reason"
+	"flamingoreach/core/refusal"
+	"flamingoreach/core/request"
+	"flamingoreach/core/route"
+	"flamingoreach/io/message"
+)
+
+const (
+	// freeGates is the number of gates that a call may ask for a free slot; at the last one it may wait.
+	freeGates = 4
+	// answerGrace is the time in which the answer to a call that ended at its deadline still arrives.
+	answerGrace = 50 * time.Millisecond
+	// deeperPriority lifts calls of work that runs above all new work.
+	deeperPriority = 1000
+	// deeperWaitParts is the part of its time that a deeper call may wait at a gate, as a divisor.
+	deeperWaitParts = 2
+)
+
+// joinCalls connects the decisions about calls with what this node knows and speaks to.
+func (nod *Node) joinCalls() {
+	nod.runner = &attempt.Runner{
+		Candidates: func(cal call.Call) []member.Member { return nod.view.Load().Serving(cal.Service) },
+		Choose:     nod.picker.ChooseByRoom,
+		Sent:       nod.picker.Sent,
+		Answered: func(id, account string, ans answer.Answer, elapsed time.Duration) {
+			nod.picker.Answered(id, account, ans, elapsed)
+			nod.metrics.Took(elapsed)
+		},
+		Lost:       nod.picker.Lost,
+		Cancelled:  nod.picker.Cancelled,
+		SpendRetry: nod.repeats.Spend,
+		EarnRetry:  func(string) {},
+		OnRetry:    nod.metrics.Retried,
+		OnDenied:   nod.metrics.RetryDenied,
+		FreeGates:  freeGates,
+	}
+	nod.picker.MaySpill = nod.link.Take
+	nod.admission = &admission.Admission{
+		Configuration: func() *configuration.Configuration { return nod.view.Load().Configuration },
+		FindRoute: func(req request.Request) (route.Route, bool) {
+			return nod.view.Load().Directory.HostRoute(req.Host, req.Method, req.Path)
+		},
+		Authenticate: func(credential string) (clientaccount.ClientAccount, string, *refusal.Refusal) {
+			aut, ref := authentication.Check(nod.view.Load().Directory, credential)
+			return aut.Account, aut.KeyID, ref
+		},
+		// A node out of touch goes on by what it knows, so there is no fence.
+		CheckFence: func() *refusal.Refusal { return nil },
+		ChoosePart: nod.splitter.Choose,
+		NewID:      uuid.New,
+		TakeToken:  nod.shares.Take,
+	}
+	nod.gate.Recheck = nod.recheck
+	nod.gate.PayloadSize = func(payload any) int {
+		msg, _ := payload.(message.Message)
+		return msg.Size()
+	}
+	nod.peerServer.RunCall = nod.runAtGate
+}
+
+// Serve admits a request that begins on this host and runs it; a refusal may come with a backend server's failure.
+func (nod *Node) Serve(ctx context.Context, req request.Request, msg message.Message) (answer.Answer, message.Message) {
+	started := time.Now()
+	cal, alw, ref := nod.admission.Admit(ctx, req)
+	if ref != nil {
+		ans := answer.Answer{CallID: cal.ID, Refusal: ref}
+		nod.decided(cal, req, ans, 0, started)
+		return ans, message.Message{}
+	}
+	if cal.KeyID == "" {
+		deepen(&cal)
+	}
+	nod.repeats.Earn(cal.Service)
+	ctx, cancel := context.WithDeadline(ctx, cal.Deadline.Add(answerGrace))
+	defer cancel()
+	ans, reply, attempts := nod.runAnywhere(ctx, cal, alw, msg)
+	nod.decided(cal, req, ans, attempts, started)
+	return ans, reply
+}
+
+// deepen marks a call without a key as one of work that runs: only backend servers call without a key.
+func deepen(cal *call.Call) {
+	cal.Depth = 1
+	cal.Priority += deeperPriority
+	cal.QueueWait = max(time.Until(cal.Deadline)/deeperWaitParts, time.Millisecond)
+}
+
+// runAnywhere makes the attempts of a call and returns their number. Of several failures of backend servers the last
+// one's message is kept.
+func (nod *Node) runAnywhere(ctx context.Context, cal call.Call, alw *allowance.Allowance, msg message.Message) (answer.Answer, message.Message, int) {
+	var reply message.Message
+	attempts := 0
+	ans := nod.runner.Run(ctx, cal, alw, func(ctx context.Context, mem member.Member, cal call.Call) (answer.Answer, error) {
+		attempts++
+		started := time.Now()
+		ans, got, err := nod.send(ctx, mem, cal, msg)
+		if got.Status != 0 {
+			reply = got
+		}
+		if err == nil && ans.Refusal == nil {
+			nod.picker.AnsweredRoute(mem.ID, cal.Route, time.Since(started))
+		}
+		return ans, err
+	})
+	return ans, reply, attempts
+}
+
+// send makes one attempt at this node's gate or at another one's.
+func (nod *Node) send(ctx context.Context, mem member.Member, cal call.Call, msg message.Message) (answer.Answer, message.Message, error) {
+	if mem.ID == nod.id {
+		ans, reply := nod.runAtGate(ctx, cal, msg)
+		return ans, reply, nil
+	}
+	ans, reply, err := nod.peerClient.Run(ctx, mem.Peer, cal, nod.version(), msg)
+	if mem.Region != nod.self.Region {
+		nod.link.Crossed(msg.Size() + reply.Size())
+	}
+	return ans, reply, err
+}
+
+// recheck refuses a call whose key was withdrawn since its ingress node admitted it.
+func (nod *Node) recheck(cal call.Call) *refusal.Refusal {
+	dir := nod.view.Load().Directory
+	if cal.KeyID == "" || dir == nil {
+		return nil
+	}
+	if _, valid := dir.KeyByID(cal.KeyID); !valid {
+		return refusal.NotRun(reason.KeyWithdrawn, "check key at gate")
+	}
+	return nil
+}
+
+// runAtGate asks the local gate to run a call on the backend server.
+func (nod *Node) runAtGate(ctx context.Context, cal call.Call, msg message.Message) (answer.Answer, message.Message) {
+	if cal.Service != nod.settings.Service {
+		ref := refusal.NotRun(reason.NoBackendServer, "check service at gate")
+		ref.Elsewhere = true
+		return answer.Answer{CallID: cal.ID, AllowanceLeft: cal.Allowance, Refusal: ref}, message.Message{}
+	}
+	var reply message.Message
+	ans, payload := nod.gate.Run(ctx, cal, func(ctx context.Context) (answer.Answer, any) {
+		ann := nod.backend.Load()
+		if ann == nil {
+			ref := refusal.NotRun(reason.BackendServerDown, "find backend server")
+			ref.Elsewhere = true
+			return answer.Answer{CallID: cal.ID, AllowanceLeft: cal.Allowance, Refusal: ref}, nil
+		}
+		ans, got := nod.platform.Execute(ctx, *ann, cal, msg)
+		return ans, got
+	})
+	if ans.Refusal != nil {
+		nod.metrics.Refused("gate", ans.Refusal.Reason)
+		nod.gateRefused(cal, ans)
+	}
+	nod.crashes.AwaitSpread(ctx, ans.Refusal)
+	if got, ok := payload.(message.Message); ok {
+		reply = got
+	}
+	return ans, reply
+}
+
+// gateRefused logs a refusal of the gate, with the state that decided it.
+func (nod *Node) gateRefused(cal call.Call, ans answer.Answer) {
+	if ans.Refusal.Reason == reason.SlotsInUse {
+		return
+	}
+	nod.atGate.Write("gate refused", "requestId", cal.RequestID, "callId", cal.ID, "route", cal.Route, "step", ans.Refusal.Step,
+		"reason", ans.Refusal.Reason, "outcome", ans.Refusal.Outcome, "load", ans.Load, "offered", ans.Refusal.Offered)
+}
+
+// decided logs and counts the end of a request that began on this host.
+func (nod *Node) decided(cal call.Call, req request.Request, ans answer.Answer, attempts int, started time.Time) {
+	layer := "ingress"
+	if cal.Depth > 0 {
+		layer = "deeper"
+	}
+	out, line := outcome.Ran, nod.served
+	fields := []any{
+		"requestId", req.ID, "callId", cal.ID, "route", cal.Route, "service", cal.Service, "account", cal.Account,
+		"priority", cal.Priority, "attempts", attempts, "elapsed", time.Since(started),
+		"version", nod.version(), "versionAge", time.Since(time.Unix(0, nod.versionAt.Load())).Round(time.Millisecond),
+		"members", len(nod.view.Load().Serving(cal.Service)),
+	}
+	if ref := ans.Refusal; ref != nil {
+		out, line = ref.Outcome, nod.refused
+		nod.metrics.Refused(layer, ref.Reason)
+		fields = append(fields, "step", ref.Step, "reason", ref.Reason, "peer", ref.Peer, "retryAfter", ref.RetryAfter)
+	} else {
+		nod.metrics.Answered(layer)
+	}
+	line.Write("request ended", append(fields, "outcome", out)...)
+}
+
+// Refused logs and counts a request that was refused before it could be admitted.
+func (nod *Node) Refused(req request.Request, ref *refusal.Refusal) {
+	nod.decided(call.Call{}, req, answer.Answer{Refusal: ref}, 0, time.Now())
+}
--- /dev/null
+++ b/io/hostsettings/doc.go
@@ -0,0 +1,2 @@
+// Package hostsettings holds what a node learns at its start on hosts whose platform keeps configuration and members.
+package hostsettings
--- a/io/httplistener/listener.go
+++ b/io/httplistener/listener.go
@@ -14,6 +14,8 @@
 	"golang.org/x/net/netutil"
 
 	"flamingoreach/io/bytecount"
+	"flamingoreach/io/framing"
+	"flamingoreach/io/tcpoptions"
 )
 
 // Listener is a bound TCP listener with its HTTP server.
@@ -46,12 +48,12 @@
 
 // Listen binds an address for HTTP/1.1 and cleartext HTTP/2; it fails if the address cannot be bound.
 func Listen(ctx context.Context, address netip.AddrPort, handler http.Handler, bou Bounds) (*Listener, error) {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address.String())
+	tcp, err := tcpoptions.Listen(ctx, address)
 	if err != nil {
-		return nil, eris.Wrapf(err, "listen on %s", address)
+		return nil, err
 	}
-	bound := newSocket(listener.(*net.TCPListener))
-	listener = netutil.LimitListener(bound, bou.Connections)
+	bound := newSocket(tcp)
+	listener := netutil.LimitListener(bound, bou.Connections)
 	address = listener.Addr().(*net.TCPAddr).AddrPort()
 	if bou.Counter != nil {
 		listener = bou.Counter.Listener(listener)
@@ -62,6 +64,8 @@
 	if bou.TLS != nil {
 		protocols.SetHTTP2(true)
 		listener = tls.NewListener(listener, bou.TLS)
+	} else {
+		listener = framing.Listener{Listener: listener}
 	}
 	lis := &Listener{listener: listener, bound: bound, address: address, served: make(chan struct{})}
 	lis.server = &http.Server{
@@ -71,6 +75,8 @@
 		ReadHeaderTimeout: bou.HeaderTime,
 		ReadTimeout:       bou.ReadTime,
 		IdleTimeout:       bou.IdleTime,
+		ConnContext:       framing.Connected,
+		ConnState:         framing.Changed,
 	}
 	return lis, nil
 }
@@ -78,6 +84,11 @@
 // endingConnections tells clients in the answer that its connection ends, once EndKeepAlive was called.
 func (lis *Listener) endingConnections(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		if framing.Ambiguous(req.Context()) {
+			wri.Header().Set("Connection", "close")
+			http.Error(wri, "the head gives two lengths of the body", http.StatusBadRequest)
+			return
+		}
 		if lis.ending.Load() {
 			wri.Header().Set("Connection", "close")
 		}
--- a/io/message/message.go
+++ b/io/message/message.go
@@ -8,6 +8,8 @@
 // Message is a whole request or answer with the header fields that may pass from end to end.
 type Message struct {
 	Method string
+	// Host is the value of the Host field, or empty where the receiver's address will do.
+	Host string
 	// Target is the path with the query.
 	Target string
 	// Status is zero in requests.
--- a/io/node/calls.go
+++ b/io/node/calls.go
@@ -16,6 +16,7 @@
 	"flamingoreach/core/member"
 	"flamingoreach/core/reason"
 	"flamingoreach/core/refusal"
+	"flamingoreach/core/request"
 	"flamingoreach/core/route"
 	"flamingoreach/io/message"
 )
@@ -32,15 +33,15 @@
 		},
 		Lost:       nod.picker.Lost,
 		Cancelled:  nod.picker.Cancelled,
-		SpendRetry: func() bool { return !nod.uses(mechanism.RetryBudget) || nod.budget.Spend() },
-		EarnRetry:  nod.earnRetry,
+		SpendRetry: func(string) bool { return !nod.uses(mechanism.RetryBudget) || nod.budget.Spend() },
+		EarnRetry:  func(string) { nod.earnRetry() },
 		OnRetry:    nod.metrics.Retried,
 		OnDenied:   nod.metrics.RetryDenied,
 	}
 	nod.admission = &admission.Admission{
 		Configuration: func() *configuration.Configuration { return nod.view.Load().Configuration },
-		FindRoute: func(method, path string) (route.Route, bool) {
-			return nod.view.Load().Directory.Route(method, path)
+		FindRoute: func(req request.Request) (route.Route, bool) {
+			return nod.view.Load().Directory.Route(req.Method, req.Path)
 		},
 		Authenticate: nod.authenticate,
 		CheckFence:   nod.checkFence,
@@ -156,7 +157,7 @@
 		nod.metrics.Refused("gate", ans.Refusal.Reason)
 		nod.logs.Gate.Debug("refused", "callId", cal.ID, "step", ans.Refusal.Step, "reason", ans.Refusal.Reason, "outcome", ans.Refusal.Outcome)
 	}
-	nod.awaitSpread(ctx, ans.Refusal)
+	nod.crashes.AwaitSpread(ctx, ans.Refusal)
 	reply, _ := payload.(message.Message)
 	return ans, reply
 }
--- a/io/node/configuration.go
+++ b/io/node/configuration.go
@@ -30,6 +30,7 @@
 	"flamingoreach/io/configurationfile"
 	"flamingoreach/io/configurationtable"
 	"flamingoreach/io/peer"
+	"flamingoreach/io/work"
 )
 
 const (
@@ -58,12 +59,12 @@
 	nod.control.AddTicker(nod.heartbeats.Tick)
 	nod.joinConfigurationLeader()
 	peer.Answer(nod.peerServer, sendRegionHeartbeat, func(ctx context.Context, hea heartbeat.Heartbeat) (heartbeatreply.HeartbeatReply, error) {
-		return onControl(ctx, nod, "configuration.regionHeartbeat", hea, func() heartbeatreply.HeartbeatReply {
+		return work.OnControl(ctx, nod.work, "configuration.regionHeartbeat", hea, func() heartbeatreply.HeartbeatReply {
 			return nod.configurationLeader.RegionHeartbeat(hea)
 		})
 	})
 	peer.Answer(nod.peerServer, askPrepare, func(ctx context.Context, msg prepare.Prepare) (prepared.Prepared, error) {
-		return onControl(ctx, nod, "configuration.prepare", msg, func() prepared.Prepared {
+		return work.OnControl(ctx, nod.work, "configuration.prepare", msg, func() prepared.Prepared {
 			return nod.configurationLeader.Prepare(msg)
 		})
 	})
@@ -84,7 +85,7 @@
 		return 0
 	}
 	lea.ReadTable = func(reading uint64) {
-		start(nod, "configuration.tableRead", storeTimeout, func(ctx context.Context) (configurationstate.State, error) {
+		work.Start(nod.work, "configuration.tableRead", storeTimeout, func(ctx context.Context) (configurationstate.State, error) {
 			return nod.configurationTable.Read(ctx, "")
 		}, func(sta configurationstate.State, err error) { lea.TableRead(reading, sta, err) })
 	}
@@ -100,7 +101,7 @@
 
 // startWrite runs a write whose result is seen in a later reading.
 func (nod *Node) startWrite(name string, write func(ctx context.Context) error) {
-	start(nod, name, storeTimeout, func(ctx context.Context) (struct{}, error) { return struct{}{}, write(ctx) }, func(struct{}, error) {})
+	work.Start(nod.work, name, storeTimeout, func(ctx context.Context) (struct{}, error) { return struct{}{}, write(ctx) }, func(struct{}, error) {})
 }
 
 // sendRegionHeartbeats asks the leaders of the store's region whether this data centre may go on.
@@ -110,7 +111,7 @@
 			continue
 		}
 		address := nod.leaderAddress(name)
-		start(nod, "configuration.regionReply", askTimeout, func(ctx context.Context) (heartbeatreply.HeartbeatReply, error) {
+		work.Start(nod.work, "configuration.regionReply", askTimeout, func(ctx context.Context) (heartbeatreply.HeartbeatReply, error) {
 			return peer.Ask[heartbeat.Heartbeat, heartbeatreply.HeartbeatReply](ctx, nod.peerClient, address, sendRegionHeartbeat, hea)
 		}, func(rep heartbeatreply.HeartbeatReply, err error) {
 			if err == nil {
@@ -123,7 +124,7 @@
 // fetch reads the body of a version from the leader, or else from the object store.
 func (nod *Node) fetch(vid versionid.VersionID) {
 	address := nod.leaderAddress(nod.self.DataCentre)
-	start(nod, "configuration.fetched", storeTimeout, func(ctx context.Context) (configuration.Configuration, error) {
+	work.Start(nod.work, "configuration.fetched", storeTimeout, func(ctx context.Context) (configuration.Configuration, error) {
 		if address != nod.self.Peer {
 			asked, cancel := context.WithTimeout(ctx, askTimeout)
 			short, err := peer.Ask[versionid.VersionID, []byte](asked, nod.peerClient, address, fetchBody, vid)
@@ -161,7 +162,7 @@
 }
 
 func (nod *Node) answerFetch(ctx context.Context, vid versionid.VersionID) ([]byte, error) {
-	body, err := onControl(ctx, nod, "configuration.bodyAsked", vid, func() *configuration.Configuration {
+	body, err := work.OnControl(ctx, nod.work, "configuration.bodyAsked", vid, func() *configuration.Configuration {
 		if cfg, held := nod.versions.Body(vid); held {
 			return &cfg
 		}
--- a/io/node/contact.go
+++ b/io/node/contact.go
@@ -12,6 +12,7 @@
 	"flamingoreach/core/sharereply"
 	"flamingoreach/core/sharerequest"
 	"flamingoreach/io/peer"
+	"flamingoreach/io/work"
 )
 
 const sendContact = "SendContact"
@@ -19,7 +20,7 @@
 // joinContact answers the messages by which nodes keep in contact with this node as their leader.
 func (nod *Node) joinContact() {
 	peer.Answer(nod.peerServer, sendContact, func(ctx context.Context, con contact.Contact) (contactreply.ContactReply, error) {
-		return onControl(ctx, nod, "contact.received", con, func() contactreply.ContactReply { return nod.handleContact(con) })
+		return work.OnControl(ctx, nod.work, "contact.received", con, func() contactreply.ContactReply { return nod.handleContact(con) })
 	})
 }
 
@@ -55,7 +56,7 @@
 
 func (nod *Node) sendShareRequest(address netip.AddrPort, req sharerequest.ShareRequest) {
 	if address == nod.self.Peer {
-		nod.control.Offer(newEvent("share.askedSelf", nil, func() {
+		nod.control.Offer(work.Event("share.askedSelf", nil, func() {
 			if rep, ok := nod.handleShareRequest(req); ok {
 				nod.takeShareReply(rep)
 			} else {
@@ -73,7 +74,7 @@
 
 func (nod *Node) startContact(address netip.AddrPort, hea *heartbeat.Heartbeat, req *sharerequest.ShareRequest) {
 	con := contact.New(uuid.MustParse(nod.id), hea, req)
-	start(nod, "contact.reply", askTimeout, func(ctx context.Context) (contactreply.ContactReply, error) {
+	work.Start(nod.work, "contact.reply", askTimeout, func(ctx context.Context) (contactreply.ContactReply, error) {
 		return peer.Ask[contact.Contact, contactreply.ContactReply](ctx, nod.peerClient, address, sendContact, con)
 	}, func(reply contactreply.ContactReply, err error) {
 		if err == nil && reply.Heartbeat != nil {
--- a/io/node/leadership.go
+++ b/io/node/leadership.go
@@ -18,6 +18,7 @@
 	"flamingoreach/core/row"
 	"flamingoreach/core/rowwrite"
 	"flamingoreach/io/peer"
+	"flamingoreach/io/work"
 )
 
 const (
@@ -35,7 +36,7 @@
 	nod.lease = leasetrace.New(nod.id, nod.self.Peer, nod.recorder)
 	nod.lease.Members = nod.dataCentreMembers
 	nod.lease.Read = func(ticket uint64) {
-		start(nod, "lease.rowRead", storeTimeout, nod.readLeader(nod.self.DataCentre), func(rea leaderRow, err error) {
+		work.Start(nod.work, "lease.rowRead", storeTimeout, nod.readLeader(nod.self.DataCentre), func(rea leaderRow, err error) {
 			if err != nil {
 				nod.lease.ReadFailed(ticket)
 				return
@@ -44,7 +45,7 @@
 		})
 	}
 	nod.lease.Write = func(ticket, expected uint64, value leader.Leader) {
-		start(nod, "lease.written", storeTimeout, nod.writeRow(leaderKey(nod.self.DataCentre), expected, value, nil), func(revision uint64, err error) {
+		work.Start(nod.work, "lease.written", storeTimeout, nod.writeRow(leaderKey(nod.self.DataCentre), expected, value, nil), func(revision uint64, err error) {
 			switch {
 			case err == nil:
 				nod.lease.Written(ticket, revision)
@@ -61,7 +62,7 @@
 	nod.lease.RecordEffects()
 	nod.control.AddTicker(nod.lease.Tick)
 	peer.Answer(nod.peerServer, passLeadership, func(ctx context.Context, led grantledger.GrantLedger) (struct{}, error) {
-		nod.post(ctx, "leadership.received", led, func() { nod.receiveLeadership(led) })
+		nod.work.Post(ctx, "leadership.received", led, func() { nod.receiveLeadership(led) })
 		return struct{}{}, nil
 	})
 	peer.Answer(nod.peerServer, announceLeader, func(context.Context, struct{}) (struct{}, error) { return struct{}{}, nil })
@@ -132,7 +133,7 @@
 // leaderHeard takes what a peer knows; it is called by any goroutine.
 func (nod *Node) leaderHeard(dataCentre string, lead leader.Leader) {
 	if lead.Epoch > nod.knownLeaders()[dataCentre].Epoch {
-		nod.control.Offer(newEvent("leadership.heard", lead, func() { nod.learnLeader(dataCentre, lead) }))
+		nod.control.Offer(work.Event("leadership.heard", lead, func() { nod.learnLeader(dataCentre, lead) }))
 	}
 }
 
@@ -163,7 +164,7 @@
 			continue
 		}
 		address := mem.Peer
-		start(nod, "leadership.announced", askTimeout, func(ctx context.Context) (struct{}, error) {
+		work.Start(nod.work, "leadership.announced", askTimeout, func(ctx context.Context) (struct{}, error) {
 			return peer.Ask[struct{}, struct{}](ctx, nod.peerClient, address, announceLeader, struct{}{})
 		}, func(struct{}, error) {})
 	}
--- a/io/node/members.go
+++ b/io/node/members.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net/netip"
 	"time"
 
 	"github.com/google/uuid"
@@ -12,28 +11,14 @@
 	"flamingoreach/core/localserver"
 	"flamingoreach/core/member"
 	"flamingoreach/core/membership"
-	"flamingoreach/core/membership/ack"
 	"flamingoreach/core/membership/change"
-	"flamingoreach/core/membership/exchange"
 	"flamingoreach/core/membership/memberrow"
-	"flamingoreach/core/membership/probe"
 	"flamingoreach/core/rowwrite"
-	"flamingoreach/io/peer"
+	"flamingoreach/io/memberlink"
 )
 
-const (
-	probeMember     = "ProbeMember"
-	passProbe       = "PassProbe"
-	exchangeMembers = "ExchangeMembers"
-	// A leader reads the rows of its data centre's members this often.
-	rowsInterval = 30 * time.Second
-)
-
-// passedProbe is a probe that another node passes on to its target.
-type passedProbe struct {
-	Target netip.AddrPort `json:"target"`
-	Probe  probe.Probe    `json:"probe"`
-}
+// rowsInterval is how often a leader reads the rows of its data centre's members.
+const rowsInterval = 30 * time.Second
 
 // joinMembers connects the membership list with peers and the table.
 func (nod *Node) joinMembers() {
@@ -44,66 +29,29 @@
 		lead, known := nod.knownLeaders()[dataCentre]
 		return lead.Holder, known
 	}
-	nod.joinProbes(lis)
-	lis.SendExchange = func(address netip.AddrPort, exc exchange.Exchange) {
-		start(nod, "membership.exchanged", askTimeout, func(ctx context.Context) (exchange.Exchange, error) {
-			return peer.Ask[exchange.Exchange, exchange.Exchange](ctx, nod.peerClient, address, exchangeMembers, exc)
-		}, func(reply exchange.Exchange, err error) {
-			if err != nil {
-				lis.ExchangeFailed(address)
-				return
+	lin := &memberlink.Link{
+		List: lis, Work: nod.work, Client: nod.peerClient, Server: nod.peerServer,
+		ReadRows: nod.readMemberRows, WriteRow: nod.writeMemberRow, DeleteRow: nod.deleteMemberRow,
+		Reread: func() time.Duration {
+			if nod.issuer == nil {
+				return 0
 			}
-			lis.ExchangeAnswered(address, reply)
-		})
-	}
-	lis.WriteRow = func(row memberrow.Row) {
-		start(nod, "membership.rowWritten", storeTimeout, func(ctx context.Context) (struct{}, error) {
-			return struct{}{}, nod.writeMemberRow(ctx, row)
-		}, func(_ struct{}, err error) {
-			if err != nil {
-				lis.RowFailed()
+			return rowsInterval
+		},
+		Read: func(rows []memberrow.Row) {
+			nod.registered = nil
+			for _, row := range rows {
+				nod.registered = append(nod.registered, row.Member.ID)
 			}
-		})
+		},
+		AskTime: askTimeout, StoreTime: storeTimeout,
 	}
-	lis.DeleteRow = func(id string) {
-		nod.startWrite("membership.rowDeleted", func(ctx context.Context) error {
-			write := rowwrite.Write{Key: nod.memberRows() + "/" + id, Unconditional: true, Delete: true}
-			return nod.table.Transact(ctx, uuid.New(), []rowwrite.Write{write})
-		})
-	}
-	nod.control.AddTicker(lis.Tick)
-	nod.control.AddTicker(nod.tickRows)
-	peer.Answer(nod.peerServer, exchangeMembers, func(ctx context.Context, exc exchange.Exchange) (exchange.Exchange, error) {
-		return onControl(ctx, nod, "membership.exchangeReceived", exc, func() exchange.Exchange { return lis.ExchangeReceived(exc) })
-	})
+	lin.Join()
 }
 
-func (nod *Node) joinProbes(lis *membership.List) {
-	acked := func(number uint64) func(answer ack.Ack, err error) {
-		return func(answer ack.Ack, err error) {
-			if err != nil {
-				lis.ProbeFailed(number)
-				return
-			}
-			lis.ProbeAcked(number, answer)
-		}
-	}
-	lis.SendProbe = func(number uint64, address netip.AddrPort, pro probe.Probe) {
-		start(nod, "membership.probed", askTimeout, func(ctx context.Context) (ack.Ack, error) {
-			return peer.Ask[probe.Probe, ack.Ack](ctx, nod.peerClient, address, probeMember, pro)
-		}, acked(number))
-	}
-	lis.SendIndirectProbe = func(number uint64, through, target netip.AddrPort, pro probe.Probe) {
-		start(nod, "membership.probed", askTimeout, func(ctx context.Context) (ack.Ack, error) {
-			return peer.Ask[passedProbe, ack.Ack](ctx, nod.peerClient, through, passProbe, passedProbe{Target: target, Probe: pro})
-		}, acked(number))
-	}
-	peer.Answer(nod.peerServer, probeMember, func(ctx context.Context, pro probe.Probe) (ack.Ack, error) {
-		return onControl(ctx, nod, "membership.probeReceived", pro, func() ack.Ack { return lis.ProbeReceived(pro) })
-	})
-	peer.Answer(nod.peerServer, passProbe, func(ctx context.Context, pas passedProbe) (ack.Ack, error) {
-		return peer.Ask[probe.Probe, ack.Ack](ctx, nod.peerClient, pas.Target, probeMember, pas.Probe)
-	})
+func (nod *Node) deleteMemberRow(ctx context.Context, id string) error {
+	write := rowwrite.Write{Key: nod.memberRows() + "/" + id, Unconditional: true, Delete: true}
+	return nod.table.Transact(ctx, uuid.New(), []rowwrite.Write{write})
 }
 
 // memberRows is the table's collection for the members of the own data centre.
@@ -134,26 +82,6 @@
 	return rows, nil
 }
 
-// tickRows reads the rows of the data centre's members once at the start, and from time to time while leading.
-func (nod *Node) tickRows() {
-	due := nod.rowsRead.IsZero() || (nod.issuer != nil && time.Since(nod.rowsRead) > rowsInterval)
-	if !due {
-		return
-	}
-	nod.rowsRead = time.Now()
-	start(nod, "membership.joined", storeTimeout, nod.readMemberRows, func(rows []memberrow.Row, err error) {
-		if err != nil {
-			nod.rowsRead = time.Time{}
-			return
-		}
-		nod.registered = nil
-		for _, row := range rows {
-			nod.registered = append(nod.registered, row.Member.ID)
-		}
-		nod.members.Joined(rows)
-	})
-}
-
 // publishMembers makes a changed list visible to traffic; it runs on the control thread.
 func (nod *Node) publishMembers(members []member.Member) {
 	live := make(map[string]bool, len(members))
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -42,6 +42,7 @@
 	"flamingoreach/io/bytecount"
 	"flamingoreach/io/configurationbody"
 	"flamingoreach/io/configurationtable"
+	"flamingoreach/io/crashlink"
 	"flamingoreach/io/fleettls"
 	"flamingoreach/io/layerlogs"
 	"flamingoreach/io/metricset"
@@ -52,6 +53,7 @@
 	"flamingoreach/io/tableservice"
 	"flamingoreach/io/tasks"
 	"flamingoreach/io/tracefile"
+	"flamingoreach/io/work"
 )
 
 const (
@@ -91,6 +93,7 @@
 	// accepted counts the connections that other nodes opened.
 	accepted  bytecount.Counter
 	tasks     *tasks.Tasks
+	work      *work.Work
 	listeners listeners
 	ready     chan struct{}
 	recorder  *trace.Recorder
@@ -109,7 +112,6 @@
 	self                member.Member
 	members             *membership.List
 	registered          []string
-	rowsRead            time.Time
 	versions            *versionview.View
 	life                *nodelife.Life
 	heartbeats          *configurationtrace.Node
@@ -125,7 +127,7 @@
 	informed map[string]time.Time
 	// handsOver says that this node leaves and another one is there to lead.
 	handsOver bool
-	crashes   crashNews
+	crashes   *crashlink.Link
 	// issuer and division exist while this node leads its data centre; divided names the accounts of division.
 	issuer   *grant.Issuer
 	division *division.Division
@@ -161,6 +163,7 @@
 		life:          nodelife.New(),
 		patches:       map[*patch.Patch]bool{},
 	}
+	nod.work = &work.Work{Control: nod.control, Tasks: nod.tasks, Log: nod.logs.Control}
 	nod.picker.MaySpill = nod.link.Take
 	nod.leaders.Store(&map[string]leader.Leader{})
 	if err := nod.loadCredentials(); err != nil {
@@ -279,13 +282,17 @@
 	nod.peerClient.Leader, nod.peerClient.LeaderHeard = nod.ownLeader, nod.leaderHeard
 	nod.peerServer.Leader, nod.peerServer.LeaderHeard = nod.ownLeader, nod.leaderHeard
 	nod.peerServer.RunCall = nod.runAtGate
+	nod.crashes = &crashlink.Link{
+		Work: nod.work, Client: nod.peerClient, Server: nod.peerServer, Gate: nod.gate, AskTime: askTimeout,
+		Peers: func() []netip.AddrPort { return nod.view.Load().Peers(nod.settings.Node.Service) },
+	}
 	nod.joinMembers()
 	nod.joinLeadership()
 	// Heartbeats tick before share requests, which carry them.
 	nod.joinConfiguration()
 	nod.joinShares()
 	nod.joinContact()
-	nod.joinCrashes()
+	nod.crashes.Join()
 	nod.joinReports()
 	nod.control.AddTicker(nod.tickPatches)
 }
--- a/io/node/patches.go
+++ b/io/node/patches.go
@@ -13,6 +13,7 @@
 	"flamingoreach/core/prepared"
 	"flamingoreach/core/versionid"
 	"flamingoreach/io/peer"
+	"flamingoreach/io/work"
 )
 
 // submitPatch coordinates a patch and waits for its result; the error is the context's.
@@ -28,7 +29,7 @@
 		delete(nod.patches, pat)
 		results <- res
 	}
-	nod.post(ctx, "patch.submitted", id, func() {
+	nod.work.Post(ctx, "patch.submitted", id, func() {
 		nod.patches[pat] = true
 		pat.Start()
 	})
@@ -44,7 +45,7 @@
 // joinPatch connects one submission with the platform and the leaders of all data centres.
 func (nod *Node) joinPatch(pat *patch.Patch, text []byte) {
 	pat.Read = func(patchID string) {
-		start(nod, "patch.tableRead", storeTimeout, func(ctx context.Context) (configurationstate.State, error) {
+		work.Start(nod.work, "patch.tableRead", storeTimeout, func(ctx context.Context) (configurationstate.State, error) {
 			return nod.configurationTable.Read(ctx, patchID)
 		}, pat.TableRead)
 	}
@@ -67,17 +68,17 @@
 }
 
 func startStep(nod *Node, name string, step func(ctx context.Context) error, done func(err error)) {
-	start(nod, name, storeTimeout, func(ctx context.Context) (struct{}, error) { return struct{}{}, step(ctx) },
+	work.Start(nod.work, name, storeTimeout, func(ctx context.Context) (struct{}, error) { return struct{}{}, step(ctx) },
 		func(_ struct{}, err error) { done(err) })
 }
 
 func (nod *Node) askPrepare(msg prepare.Prepare, answered func(ans prepared.Prepared)) {
 	address := nod.leaderAddress(msg.DataCentre)
 	if address == nod.self.Peer {
-		nod.control.Offer(newEvent("patch.prepared", nil, func() { answered(nod.configurationLeader.Prepare(msg)) }))
+		nod.control.Offer(work.Event("patch.prepared", nil, func() { answered(nod.configurationLeader.Prepare(msg)) }))
 		return
 	}
-	start(nod, "patch.prepared", askTimeout, func(ctx context.Context) (prepared.Prepared, error) {
+	work.Start(nod.work, "patch.prepared", askTimeout, func(ctx context.Context) (prepared.Prepared, error) {
 		return peer.Ask[prepare.Prepare, prepared.Prepared](ctx, nod.peerClient, address, askPrepare, msg)
 	}, func(ans prepared.Prepared, err error) {
 		if err == nil {
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -16,6 +16,7 @@
 	"flamingoreach/io/backendserver"
 	"flamingoreach/io/caller"
 	"flamingoreach/io/httplistener"
+	"flamingoreach/io/work"
 )
 
 const (
@@ -174,7 +175,7 @@
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
-		left, err := onControl(ctx, nod, "node.settled", nil, func() bool {
+		left, err := work.OnControl(ctx, nod.work, "node.settled", nil, func() bool {
 			own, _ := nod.lease.Own()
 			return nod.share.Left() && nod.members.Settled() && (own.Epoch == 0 || !nod.handsOver)
 		})
--- a/io/node/server.go
+++ b/io/node/server.go
@@ -13,6 +13,7 @@
 	"flamingoreach/core/gatepolicy"
 	"flamingoreach/core/mechanism"
 	"flamingoreach/core/membership/change"
+	"flamingoreach/io/work"
 )
 
 // The bounds for finding out whether the backend server's process still listens.
@@ -74,7 +75,7 @@
 
 // announced hands an announcement of the backend server to the control thread.
 func (nod *Node) announced(ann announcement.Announcement) {
-	nod.control.Offer(newEvent("localServer.announced", ann, func() { nod.server.Announced(ann) }))
+	nod.control.Offer(work.Event("localServer.announced", ann, func() { nod.server.Announced(ann) }))
 }
 
 // checkCrash finds out at once whether a broken connection means that the process ended, while its other
@@ -93,9 +94,9 @@
 
 func (nod *Node) crashed() {
 	nod.gate.Crashed()
-	nod.control.Offer(newEvent("localServer.broken", nil, func() {
+	nod.control.Offer(work.Event("localServer.broken", nil, func() {
 		nod.server.Broken()
-		nod.sendCrashes()
+		nod.crashes.Send()
 	}))
 }
 
--- a/io/node/shares.go
+++ b/io/node/shares.go
@@ -22,6 +22,7 @@
 	"flamingoreach/core/sharereply"
 	"flamingoreach/core/sharerequest"
 	"flamingoreach/io/peer"
+	"flamingoreach/io/work"
 )
 
 const (
@@ -38,7 +39,7 @@
 		nod.control.Offer(event.Event{Name: "share.low", Data: account, Apply: func() { nod.share.Low(account) }})
 	}
 	nod.share.Later = func(wait time.Duration) {
-		start(nod, "share.due", wait+askTimeout, func(ctx context.Context) (struct{}, error) {
+		work.Start(nod.work, "share.due", wait+askTimeout, func(ctx context.Context) (struct{}, error) {
 			timer := time.NewTimer(wait)
 			defer timer.Stop()
 			select {
@@ -52,7 +53,7 @@
 	nod.control.AddTicker(nod.share.Tick)
 	nod.control.AddTicker(nod.tickLeader)
 	peer.Answer(nod.peerServer, sendDemand, func(ctx context.Context, dig demanddigest.DemandDigest) (struct{}, error) {
-		nod.post(ctx, "division.digest", dig, func() {
+		nod.work.Post(ctx, "division.digest", dig, func() {
 			if nod.division != nil {
 				nod.division.Digest(dig)
 			}
@@ -119,7 +120,7 @@
 			Row      divisionrow.DivisionRow `json:"row"`
 			Revision uint64                  `json:"revision"`
 		}
-		start(nod, "division.rowRead", storeTimeout, func(ctx context.Context) (divisionRead, error) {
+		work.Start(nod.work, "division.rowRead", storeTimeout, func(ctx context.Context) (divisionRead, error) {
 			var rea divisionRead
 			revision, err := nod.readRow(ctx, divisionPath+account, &rea.Row)
 			rea.Revision = revision
@@ -133,7 +134,7 @@
 		})
 	}
 	div.ReadLeader = func(dataCentre string) {
-		start(nod, "division.leaderRead", storeTimeout, nod.readLeader(dataCentre), func(rea leaderRow, err error) {
+		work.Start(nod.work, "division.leaderRead", storeTimeout, nod.readLeader(dataCentre), func(rea leaderRow, err error) {
 			if err == nil {
 				div.LeaderRead(dataCentre, rea.Revision)
 			}
@@ -144,7 +145,7 @@
 		for _, fen := range fences {
 			checks = append(checks, rowwrite.Write{Key: leaderKey(fen.DataCentre), Expected: fen.Revision, CheckOnly: true})
 		}
-		start(nod, "division.written", storeTimeout, nod.writeRow(divisionPath+account, expected, value, checks), func(revision uint64, err error) {
+		work.Start(nod.work, "division.written", storeTimeout, nod.writeRow(divisionPath+account, expected, value, checks), func(revision uint64, err error) {
 			switch {
 			case err == nil:
 				div.Written(ticket, account, revision)
@@ -163,7 +164,7 @@
 			continue
 		}
 		address := nod.leaderAddress(name)
-		start(nod, "division.digestSent", askTimeout, func(ctx context.Context) (struct{}, error) {
+		work.Start(nod.work, "division.digestSent", askTimeout, func(ctx context.Context) (struct{}, error) {
 			return peer.Ask[demanddigest.DemandDigest, struct{}](ctx, nod.peerClient, address, sendDemand, dig.For(name))
 		}, func(struct{}, error) {})
 	}
@@ -215,7 +216,7 @@
 	led := nod.issuer.PassOn()
 	led.Leader, led.Revision = successor, revision
 	nod.logs.Control.Info("leadership passed on", "peer", successor.Address, "epoch", successor.Epoch)
-	start(nod, "leadership.passedOn", askTimeout, func(ctx context.Context) (struct{}, error) {
+	work.Start(nod.work, "leadership.passedOn", askTimeout, func(ctx context.Context) (struct{}, error) {
 		return peer.Ask[grantledger.GrantLedger, struct{}](ctx, nod.peerClient, successor.Address, passLeadership, led)
 	}, func(struct{}, error) {})
 }
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -19,6 +19,7 @@
 	"flamingoreach/io/bytecount"
 	"flamingoreach/io/message"
 	"flamingoreach/io/peer/callv1/callv1connect"
+	"flamingoreach/io/tcpoptions"
 )
 
 const (
@@ -28,6 +29,12 @@
 	pingAfter       = 2 * time.Second
 	pingTimeout     = 2 * time.Second
 	maxMessageBytes = 64 << 20
+
+	// pooledDialTimeout spans a round trip between regions and one lost packet of the handshake is not waited for.
+	pooledDialTimeout = 300 * time.Millisecond
+	pooledIdle        = 64
+	// pooledIdleTimeout is below the idle time of the nodes' listeners, which would end a connection in use.
+	pooledIdleTimeout = 20 * time.Second
 )
 
 // Client calls other nodes over HTTP/2.
@@ -66,6 +73,20 @@
 	return cli
 }
 
+// NewPooledClient returns a client that has one call at a time on each cleartext connection, so that a lost packet holds
+// up one call only. Connections whose other end is silent are ended.
+func NewPooledClient() *Client {
+	cli := &Client{scheme: "http://"}
+	cli.codec = newCodec(&cli.controlBytes)
+	cli.http = &http.Client{Transport: &http.Transport{
+		DialContext:         cli.counter.Dialer(tcpoptions.Dialer(pooledDialTimeout).DialContext),
+		MaxIdleConnsPerHost: pooledIdle,
+		IdleConnTimeout:     pooledIdleTimeout,
+		DisableCompression:  true,
+	}}
+	return cli
+}
+
 // ControlBytes returns the bytes of all control messages sent and received by this client.
 func (cli *Client) ControlBytes() uint64 { return cli.controlBytes.Load() }
 
--- a/io/peer/translate.go
+++ b/io/peer/translate.go
@@ -37,6 +37,11 @@
 		Target:               msg.Target,
 		Fields:               encodeHeader(msg.Header),
 		Body:                 msg.Body,
+		RequestId:            cal.RequestID,
+		CallerService:        cal.CallerService,
+		QueueWait:            durationpb.New(cal.QueueWait),
+		AtOnce:               cal.AtOnce,
+		Host:                 msg.Host,
 	}
 }
 
@@ -63,8 +68,12 @@
 		Deadline:       time.Now().Add(req.GetTimeLeft().AsDuration()),
 		Allowance:      int(req.GetAllowance()),
 		Fingerprint:    req.GetFingerprint(),
+		RequestID:      req.GetRequestId(),
+		CallerService:  req.GetCallerService(),
+		QueueWait:      req.GetQueueWait().AsDuration(),
+		AtOnce:         req.GetAtOnce(),
 	}
-	msg := message.Message{Method: req.GetMethod(), Target: req.GetTarget(), Header: decodeHeader(req.GetFields()), Body: req.GetBody()}
+	msg := message.Message{Method: req.GetMethod(), Host: req.GetHost(), Target: req.GetTarget(), Header: decodeHeader(req.GetFields()), Body: req.GetBody()}
 	return cal, msg, nil
 }
 
@@ -108,6 +117,7 @@
 		RetryAfter: durationpb.New(ref.RetryAfter),
 		Elsewhere:  ref.Elsewhere,
 		Step:       ref.Step,
+		Offered:    ref.Offered,
 	}
 	if ref.Peer.IsValid() {
 		enc.Peer = ref.Peer.String()
@@ -131,6 +141,7 @@
 		RetryAfter: enc.GetRetryAfter().AsDuration(),
 		Elsewhere:  enc.GetElsewhere(),
 		Step:       enc.GetStep(),
+		Offered:    enc.GetOffered(),
 		Peer:       peer,
 	}
 }
--- /dev/null
+++ b/io/tcpoptions/doc.go
@@ -0,0 +1,2 @@
+// Package tcpoptions finds out silent TCP connections: those whose other end is gone without a word.
+package tcpoptions
--- /dev/null
+++ b/io/tcpoptions/options.go
@@ -0,0 +1,51 @@
+package tcpoptions
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// unackedTime ends a connection whose data is not acknowledged: several retransmissions at the longest round trip.
+	unackedTime = 2 * time.Second
+	// A connection without traffic is probed after probeIdle, and ended after probeCount probes without an answer.
+	probeIdle     = 1 * time.Second
+	probeInterval = 1 * time.Second
+	probeCount    = 2
+)
+
+func keepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount}
+}
+
+// Dialer returns a dialer with a bound on the time to connect, whose connections end when the other end is silent.
+func Dialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive(), Control: control}
+}
+
+// Listen binds an address whose accepted connections end when the other end is silent; it fails if it cannot be bound.
+func Listen(ctx context.Context, address netip.AddrPort) (*net.TCPListener, error) {
+	config := net.ListenConfig{KeepAliveConfig: keepAlive(), Control: control}
+	listener, err := config.Listen(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen on %s", address)
+	}
+	return listener.(*net.TCPListener), nil
+}
+
+func control(_, _ string, raw syscall.RawConn) error {
+	var failure error
+	err := raw.Control(func(descriptor uintptr) {
+		failure = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTime.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failure
+}
--- /dev/null
+++ b/io/work/doc.go
@@ -0,0 +1,2 @@
+// Package work connects blocking requests and other goroutines with the control thread.
+package work
--- a/measure/ingressrig/host.go
+++ b/measure/ingressrig/host.go
@@ -68,12 +68,12 @@
 		Candidates: func(cal call.Call) []member.Member { return hos.rig.members[cal.Service] },
 		Choose:     pic.Choose,
 		Sent:       pic.Sent, Answered: pic.Answered, Lost: pic.Lost, Cancelled: pic.Cancelled,
-		SpendRetry: bud.Spend,
-		EarnRetry:  func() { bud.Earn(retryRatio) },
+		SpendRetry: func(string) bool { return bud.Spend() },
+		EarnRetry:  func(string) { bud.Earn(retryRatio) },
 		OnRetry:    func(reason.Reason) {},
 	}
 	if !hos.rig.con.Budget {
-		run.SpendRetry = func() bool { return true }
+		run.SpendRetry = func(string) bool { return true }
 	}
 	if !hos.rig.con.Picker {
 		run.Choose = hos.chooseAny
