--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -20,6 +20,9 @@
 // MaxDepth bounds the depth of a request tree, so that a cycle of calls ends.
 const MaxDepth = 32
 
+// routePriorities is above the priority of any route, where accounts have priorities of their own.
+const routePriorities = 1000
+
 // queueParts is the part of its target latency that a call may wait at a gate, as a divisor: a refusal that comes
 // no later still leaves the caller the time to come back.
 const queueParts = 8
@@ -122,10 +125,11 @@
 	return cal, allowance.New(cal.Allowance), nil
 }
 
-// priority returns the priority of an account's call on a route of the given one.
+// priority returns the priority of an account's call on a route of the given one. Where accounts have their own,
+// the route's decides among calls of equal ones.
 func priority(ofRoute int, acc clientaccount.ClientAccount) int {
 	if acc.Priority != nil {
-		return *acc.Priority
+		return *acc.Priority*routePriorities + ofRoute
 	}
 	return ofRoute + acc.PriorityBoost
 }
--- /dev/null
+++ b/core/configurationfeed/feed_test.go
@@ -0,0 +1,89 @@
+package configurationfeed_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingoreach/core/configuration"
+	"flamingoreach/core/configurationfeed"
+	"flamingoreach/core/configurationfeed/reading"
+)
+
+var errAway = errors.New("the store is away")
+
+func newFeed(log *[]string) *configurationfeed.Feed {
+	fee := configurationfeed.New()
+	fee.Read = func() { *log = append(*log, "read") }
+	fee.Follow = func(revision uint64) { *log = append(*log, fmt.Sprint("follow ", revision)) }
+	fee.Publish = func(cfg *configuration.Configuration, source string) {
+		*log = append(*log, fmt.Sprint(source, " ", cfg.Version))
+	}
+	fee.Lost = func(error) { *log = append(*log, "lost") }
+	fee.Regained = func(time.Duration) { *log = append(*log, "regained") }
+	fee.Random = func() float64 { return 0.5 }
+	return fee
+}
+
+func version(number, revision uint64) reading.Reading {
+	return reading.Reading{Configuration: &configuration.Configuration{Version: number}, Revision: revision}
+}
+
+func take(log *[]string) []string {
+	lines := *log
+	*log = nil
+	return lines
+}
+
+func TestVersionsRiseWhereverTheyComeFrom(t *testing.T) {
+	var log []string
+	fee := newFeed(&log)
+	fee.Tick()
+	fee.Answered(version(5, 10), nil)
+	require.Equal(t, []string{"read", "store 5", "follow 10"}, take(&log))
+	fee.Heard(&configuration.Configuration{Version: 7})
+	fee.Answered(version(6, 12), nil)
+	require.Equal(t, []string{"peer 7", "follow 12"}, take(&log), "an older version is not taken")
+	fee.Answered(version(7, 13), nil)
+	fee.Answered(version(9, 14), nil)
+	require.Equal(t, []string{"follow 13", "store 9", "follow 14"}, take(&log))
+	require.Equal(t, uint64(9), fee.Version())
+}
+
+func TestAStoreThatIsAwayIsAskedAfterRisingPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log []string
+		fee := newFeed(&log)
+		fee.Tick()
+		fee.Answered(reading.Reading{}, errAway)
+		fee.Tick()
+		require.Equal(t, []string{"read", "lost"}, take(&log))
+		time.Sleep(200 * time.Millisecond)
+		fee.Tick()
+		fee.Answered(version(1, 2), nil)
+		require.Equal(t, []string{"read", "store 1", "regained", "follow 2"}, take(&log))
+		asked := 0
+		for range 100 {
+			fee.Answered(reading.Reading{}, errAway)
+			time.Sleep(100 * time.Millisecond)
+			fee.Tick()
+			asked += len(take(&log))
+		}
+		require.Less(t, asked, 12, "one line lost and a request now and then in 10 s")
+	})
+}
+
+func TestGoneHistoryLeadsToAWholeReading(t *testing.T) {
+	var log []string
+	fee := newFeed(&log)
+	fee.Tick()
+	fee.Answered(version(1, 2), nil)
+	fee.Answered(reading.Reading{}, fmt.Errorf("feed: %w", reading.ErrHistoryGone))
+	fee.Tick()
+	fee.Answered(version(3, 40), nil)
+	require.Equal(t, []string{"read", "store 1", "follow 2", "read", "store 3", "follow 40"}, take(&log))
+}
--- /dev/null
+++ b/core/repeatbudget/budget_test.go
@@ -0,0 +1,41 @@
+package repeatbudget_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingoreach/core/repeatbudget"
+)
+
+func TestAllHostsTogetherStayWithinRatioAndSlack(t *testing.T) {
+	const hosts, calls, ratio, slack = 16, 500, 0.2, 48.0
+	spent := 0
+	for range hosts {
+		bud := repeatbudget.New(ratio, slack)
+		bud.SetHosts(hosts)
+		for range calls {
+			bud.Earn("quotes")
+			for bud.Spend("quotes") {
+				spent++
+			}
+		}
+	}
+	require.LessOrEqual(t, float64(spent), ratio*hosts*calls+slack)
+	require.Greater(t, spent, hosts*calls/20, "a part of the ratio is of use")
+}
+
+func TestServicesDoNotShareABudget(t *testing.T) {
+	bud := repeatbudget.New(0.2, 4)
+	for bud.Spend("quotes") {
+	}
+	require.True(t, bud.Spend("confirms"))
+}
+
+func TestTheSlackDoesNotComeBackWithTime(t *testing.T) {
+	bud := repeatbudget.New(0.2, 4)
+	for bud.Spend("quotes") {
+	}
+	bud.SetHosts(1)
+	require.False(t, bud.Spend("quotes"))
+}
--- /dev/null
+++ b/core/splitter/splitter_test.go
@@ -0,0 +1,26 @@
+package splitter_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingoreach/core/route"
+	"flamingoreach/core/route/part"
+	"flamingoreach/core/splitter"
+)
+
+func TestPartsGetTheirWeights(t *testing.T) {
+	spl := splitter.New()
+	rou := route.Route{Name: "r", Parts: []part.Part{{Service: "a", Weight: 95}, {Service: "b", Weight: 5}, {Service: "c"}}}
+	counts := map[string]int{}
+	for range 200 {
+		counts[spl.Choose(rou)]++
+	}
+	require.Equal(t, map[string]int{"a": 190, "b": 10}, counts)
+	rou.Parts = []part.Part{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}
+	first, second := spl.Choose(rou), spl.Choose(rou)
+	require.NotEqual(t, first, second, "new weights hold at once")
+	spl.Keep(nil)
+	require.Equal(t, "a", spl.Choose(rou))
+}
--- a/core/tokenshare/tokenshare.go
+++ b/core/tokenshare/tokenshare.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// borrowWait is how long a call waits for borrowed tokens: two rounds of asking, each a control tick long.
-	borrowWait = 220 * time.Millisecond
+	// borrowWait is how long a call waits for borrowed tokens: a round of asking begins each control tick.
+	borrowWait = 150 * time.Millisecond
 	// cover is the time for which a host keeps tokens for its own demand: until it could borrow them back.
 	cover = 300 * time.Millisecond
 	// dryAsks is the number of askings in vain after which calls are refused without a wait, for dryTime.
--- /dev/null
+++ b/core/tokenshare/tokenshare_test.go
@@ -0,0 +1,166 @@
+package tokenshare_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingoreach/core/clientaccount"
+	"flamingoreach/core/reason"
+	"flamingoreach/core/tokenshare"
+)
+
+const account = "bank-a"
+
+func newFleet(hosts int, rate, burst float64) []*tokenshare.Shares {
+	fleet := make([]*tokenshare.Shares, hosts)
+	for index := range fleet {
+		fleet[index] = tokenshare.New()
+		fleet[index].Configure([]clientaccount.ClientAccount{{Name: account, Rate: rate, Burst: burst}})
+		fleet[index].SetHosts(hosts)
+	}
+	return fleet
+}
+
+// exchange lets each host ask a random other one every 100 ms, as the control thread does.
+func exchange(ctx context.Context, fleet []*tokenshare.Shares, ran *rand.Rand) {
+	for ctx.Err() == nil {
+		for index, sha := range fleet {
+			asks := sha.Wants()
+			other := ran.IntN(len(fleet))
+			if len(asks) == 0 || other == index {
+				continue
+			}
+			sha.Receive(asks, fleet[other].Lend(asks))
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// startExchange lets the hosts ask each other until the function that it returns was called.
+func startExchange(t *testing.T, fleet []*tokenshare.Shares) func() {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		exchange(ctx, fleet, rand.New(rand.NewPCG(1, 1)))
+	}()
+	return func() { cancel(); <-ended }
+}
+
+// demand sends calls evenly from some hosts for a time and returns when each one was let through.
+func demand(fleet []*tokenshare.Shares, perSecond float64, span time.Duration) (passed []time.Duration, refused int) {
+	began := time.Now()
+	results := make(chan time.Duration, 1<<16)
+	sent := 0
+	for time.Since(began) < span {
+		sha := fleet[sent%len(fleet)]
+		sent++
+		go func() {
+			if ref := sha.Take(context.Background(), account); ref != nil {
+				results <- -1
+				return
+			}
+			results <- time.Since(began)
+		}()
+		time.Sleep(time.Duration(float64(time.Second) / perSecond))
+	}
+	for range sent {
+		if at := <-results; at < 0 {
+			refused++
+		} else {
+			passed = append(passed, at)
+		}
+	}
+	return passed, refused
+}
+
+func TestAllHostsTogetherStayWithinRateAndBurstInEveryWindow(t *testing.T) {
+	for _, senders := range []int{1, 3, 16} {
+		t.Run(fmt.Sprint(senders), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const rate, burst, window = 50.0, 50.0, 5 * time.Second
+				fleet := newFleet(16, rate, burst)
+				defer startExchange(t, fleet)()
+				time.Sleep(10 * time.Second)
+				passed, _ := demand(fleet[:senders], 8*rate, 20*time.Second)
+				counts := map[time.Duration]int{}
+				for _, at := range passed {
+					counts[at.Truncate(100*time.Millisecond)]++
+				}
+				for start := time.Duration(0); start < 20*time.Second; start += 100 * time.Millisecond {
+					count := 0
+					for at, passes := range counts {
+						if at >= start && at < start+window {
+							count += passes
+						}
+					}
+					require.LessOrEqual(t, float64(count), rate*window.Seconds()+burst, "from %s", start)
+				}
+			})
+		})
+	}
+}
+
+func TestDemandAtFewHostsWithinTheRateIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(16, 50, 50)
+		defer startExchange(t, fleet)()
+		time.Sleep(10 * time.Second)
+		passed, refused := demand(fleet[:3], 40, 20*time.Second)
+		require.Less(t, float64(refused), 0.02*float64(len(passed)), "refused of %d", len(passed)+refused)
+	})
+}
+
+func TestAHostThatReachesNobodyKeepsItsOwnPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(10, 100, 100)
+		time.Sleep(5 * time.Second)
+		passed, _ := demand(fleet[:1], 50, 10*time.Second)
+		require.InDelta(t, 10+10*10, len(passed), 5, "a tenth of the burst and of the rate")
+	})
+}
+
+func TestWithoutTheNumberOfHostsNothingPasses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sha := tokenshare.New()
+		sha.Configure([]clientaccount.ClientAccount{{Name: account, Rate: 10, Burst: 10}})
+		time.Sleep(time.Minute)
+		ref := sha.Take(t.Context(), account)
+		require.Equal(t, reason.RateExceeded, ref.Reason)
+		require.Nil(t, sha.Take(t.Context(), "without a rate"))
+		sha.SetHosts(2)
+		time.Sleep(time.Second)
+		require.Nil(t, sha.Take(t.Context(), account))
+	})
+}
+
+func TestARefusalTellsWhenThereWillBeATokenAndDoesNotWaitWhereNobodyLends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sha := newFleet(20, 10, 10)[0]
+		_ = sha.Take(t.Context(), account)
+		for range 4 {
+			waited := make(chan struct{})
+			go func() {
+				defer close(waited)
+				_ = sha.Take(t.Context(), account)
+			}()
+			synctest.Wait()
+			asks := sha.Wants()
+			require.Len(t, asks, 1)
+			sha.Receive(asks, nil)
+			<-waited
+		}
+		began := time.Now()
+		ref := sha.Take(t.Context(), account)
+		require.Equal(t, reason.RateExceeded, ref.Reason)
+		require.Zero(t, time.Since(began))
+		require.GreaterOrEqual(t, ref.RetryAfter, time.Second)
+	})
+}
--- /dev/null
+++ b/io/backendconn/pool_test.go
@@ -0,0 +1,238 @@
+package backendconn_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingoreach/io/backendconn"
+)
+
+const testTime = 5 * time.Second
+
+// serve accepts connections and lets each run the script of its number, the last one for all that follow.
+func serve(t *testing.T, scripts ...func(con net.Conn, reader *bufio.Reader)) (netip.AddrPort, <-chan int) {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	accepted := make(chan int, 16)
+	go func() {
+		for number := 0; ; number++ {
+			con, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- number
+			script := scripts[min(number, len(scripts)-1)]
+			go func() {
+				defer func() { _ = con.Close() }()
+				script(con, bufio.NewReader(con))
+			}()
+		}
+	}()
+	return listener.Addr().(*net.TCPAddr).AddrPort(), accepted
+}
+
+func readRequest(reader *bufio.Reader) (*http.Request, bool) {
+	req, err := http.ReadRequest(reader)
+	if err != nil {
+		return nil, false
+	}
+	_, err = io.Copy(io.Discard, req.Body)
+	return req, err == nil
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func echo(con net.Conn, reader *bufio.Reader) {
+	for {
+		req, ok := readRequest(reader)
+		if !ok {
+			return
+		}
+		_, _ = io.WriteString(con, answer(req.Header.Get("Id"), "whole"))
+	}
+}
+
+func exchange(t *testing.T, poo *backendconn.Pool, address netip.AddrPort, id, body string) (backendconn.Response, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), testTime)
+	defer cancel()
+	req := &http.Request{
+		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: address.String(), Opaque: "/quotes/1?a=b"},
+		Host: "quotes.example", Header: http.Header{"Id": {id}}, ProtoMajor: 1, ProtoMinor: 1,
+	}
+	return poo.Exchange(ctx, address, req, []byte(body), backendconn.Rules{
+		BodyBytes: 1 << 20,
+		Belongs:   func(res *http.Response) bool { return res.Header.Get("Id") == id },
+	})
+}
+
+func requireStage(t *testing.T, stage backendconn.Stage, err error) {
+	t.Helper()
+	var fai *backendconn.Failure
+	require.ErrorAs(t, err, &fai)
+	require.Equal(t, stage, fai.Stage, "%v", err)
+}
+
+func TestAConnectionIsUsedAgain(t *testing.T) {
+	address, accepted := serve(t, echo)
+	poo := backendconn.NewPool()
+	defer poo.Close()
+	for number := range 3 {
+		res, err := exchange(t, poo, address, fmt.Sprint(number), "")
+		require.NoError(t, err)
+		require.Equal(t, "whole", string(res.Body))
+	}
+	require.Len(t, accepted, 1)
+}
+
+func TestAnExtraAnswerGoesToNobody(t *testing.T) {
+	address, accepted := serve(t, func(con net.Conn, reader *bufio.Reader) {
+		_, _ = readRequest(reader)
+		_, _ = io.WriteString(con, answer("first", "one")+answer("first", "again"))
+		time.Sleep(testTime)
+	}, echo)
+	poo := backendconn.NewPool()
+	defer poo.Close()
+	res, err := exchange(t, poo, address, "first", "")
+	require.NoError(t, err)
+	require.Equal(t, "one", string(res.Body))
+	res, err = exchange(t, poo, address, "second", "")
+	require.NoError(t, err)
+	require.Equal(t, "whole", string(res.Body))
+	require.Len(t, accepted, 2, "a connection with bytes that belong to no request is not used")
+}
+
+func TestALateExtraAnswerIsSkipped(t *testing.T) {
+	address, _ := serve(t, func(con net.Conn, reader *bufio.Reader) {
+		_, _ = readRequest(reader)
+		_, _ = io.WriteString(con, answer("first", "one"))
+		_, _ = readRequest(reader)
+		_, _ = io.WriteString(con, answer("first", "late")+answer("second", "two"))
+		time.Sleep(testTime)
+	})
+	poo := backendconn.NewPool()
+	defer poo.Close()
+	_, err := exchange(t, poo, address, "first", "")
+	require.NoError(t, err)
+	res, err := exchange(t, poo, address, "second", "")
+	require.NoError(t, err)
+	require.Equal(t, "two", string(res.Body))
+}
+
+func TestAnAnswerThatBreaksOffIsNotWhole(t *testing.T) {
+	for name, text := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 100\r\n\r\nhalf",
+		"chunked": "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := serve(t, func(con net.Conn, reader *bufio.Reader) {
+				_, _ = readRequest(reader)
+				_, _ = io.WriteString(con, text)
+			})
+			poo := backendconn.NewPool()
+			defer poo.Close()
+			_, err := exchange(t, poo, address, "a", "")
+			requireStage(t, backendconn.Reading, err)
+		})
+	}
+}
+
+func TestAnAnswerWithoutLengthThatIsResetIsNotWhole(t *testing.T) {
+	address, _ := serve(t, func(con net.Conn, reader *bufio.Reader) {
+		_, _ = readRequest(reader)
+		_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nhalf")
+		time.Sleep(50 * time.Millisecond)
+		_ = con.(*net.TCPConn).SetLinger(0)
+	})
+	poo := backendconn.NewPool()
+	defer poo.Close()
+	_, err := exchange(t, poo, address, "a", "")
+	requireStage(t, backendconn.Reading, err)
+}
+
+func TestBytesThatAreNoAnswerFail(t *testing.T) {
+	address, _ := serve(t, func(con net.Conn, reader *bufio.Reader) {
+		_, _ = readRequest(reader)
+		_, _ = io.WriteString(con, "\x00\x01 nonsense\r\n\r\n")
+	})
+	poo := backendconn.NewPool()
+	defer poo.Close()
+	_, err := exchange(t, poo, address, "a", "")
+	requireStage(t, backendconn.Waiting, err)
+}
+
+func TestAnEarlyAnswerLetsTheBodyGoOn(t *testing.T) {
+	body := strings.Repeat("b", 1<<20)
+	lengths := make(chan int64, 2)
+	address, accepted := serve(t, func(con net.Conn, reader *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(con, answer(req.Header.Get("Id"), "early"))
+			time.Sleep(100 * time.Millisecond)
+			length, _ := io.Copy(io.Discard, req.Body)
+			lengths <- length
+		}
+	})
+	poo := backendconn.NewPool()
+	defer poo.Close()
+	for _, id := range []string{"a", "b"} {
+		res, err := exchange(t, poo, address, id, body)
+		require.NoError(t, err)
+		require.Equal(t, "early", string(res.Body))
+		require.Equal(t, int64(len(body)), <-lengths)
+	}
+	require.Len(t, accepted, 1)
+}
+
+func TestNothingIsSentWhereNobodyListens(t *testing.T) {
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().(*net.TCPAddr).AddrPort()
+	require.NoError(t, listener.Close())
+	poo := backendconn.NewPool()
+	_, err = exchange(t, poo, address, "a", "")
+	requireStage(t, backendconn.Connecting, err)
+	var fai *backendconn.Failure
+	require.ErrorAs(t, err, &fai)
+	require.True(t, fai.Refused)
+}
+
+func TestACancelledExchangeClosesItsConnection(t *testing.T) {
+	closed := make(chan struct{})
+	address, _ := serve(t, func(_ net.Conn, reader *bufio.Reader) {
+		_, _ = readRequest(reader)
+		_, _ = reader.ReadByte()
+		close(closed)
+	})
+	poo := backendconn.NewPool()
+	defer poo.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address.String(), Opaque: "/"}, Header: http.Header{}}
+	_, err := poo.Exchange(ctx, address, req, nil, backendconn.Rules{BodyBytes: 1, Belongs: func(*http.Response) bool { return true }})
+	require.True(t, errors.Is(err, context.DeadlineExceeded) || err != nil)
+	select {
+	case <-closed:
+	case <-time.After(testTime):
+		t.Fatal("the backend server's connection is still open")
+	}
+}
--- a/io/hostnode/calls.go
+++ b/io/hostnode/calls.go
@@ -29,7 +29,7 @@
 	// answerGrace is the time in which the answer to a call that ended at its deadline still arrives.
 	answerGrace = 50 * time.Millisecond
 	// deeperPriority lifts calls of work that runs above all new work.
-	deeperPriority = 1000
+	deeperPriority = 1_000_000
 	// deeperWaitParts is the part of its time that a deeper call may wait at a gate, as a divisor.
 	deeperWaitParts = 2
 )
@@ -68,7 +68,6 @@
 		NewID:      uuid.New,
 		TakeToken:  nod.shares.Take,
 	}
-	nod.gate.Recheck = nod.recheck
 	nod.gate.PayloadSize = func(payload any) int {
 		msg, _ := payload.(message.Message)
 		return msg.Size()
@@ -85,7 +84,7 @@
 		nod.decided(cal, req, ans, 0, started)
 		return ans, message.Message{}
 	}
-	if cal.KeyID == "" {
+	if cal.KeyID == "" && len(nod.view.Load().Configuration.Accounts) > 0 {
 		deepen(&cal)
 	}
 	nod.repeats.Earn(cal.Service)
@@ -96,7 +95,8 @@
 	return ans, reply
 }
 
-// deepen marks a call without a key as one of work that runs: only backend servers call without a key.
+// deepen marks a call without a key as one of work that runs: where there are accounts, backend servers call without
+// a key, and hardly anybody else.
 func deepen(cal *call.Call) {
 	cal.Depth = 1
 	cal.Priority += deeperPriority
@@ -136,18 +136,6 @@
 	return ans, reply, err
 }
 
-// recheck refuses a call whose key was withdrawn since its ingress node admitted it.
-func (nod *Node) recheck(cal call.Call) *refusal.Refusal {
-	dir := nod.view.Load().Directory
-	if cal.KeyID == "" || dir == nil {
-		return nil
-	}
-	if _, valid := dir.KeyByID(cal.KeyID); !valid {
-		return refusal.NotRun(reason.KeyWithdrawn, "check key at gate")
-	}
-	return nil
-}
-
 // runAtGate asks the local gate to run a call on the backend server.
 func (nod *Node) runAtGate(ctx context.Context, cal call.Call, msg message.Message) (answer.Answer, message.Message) {
 	if cal.Service != nod.settings.Service {
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -102,7 +102,7 @@
 		return service.(callv1connect.CallServiceClient)
 	}
 	service := callv1connect.NewCallServiceClient(cli.http, cli.scheme+address.String(),
-		connect.WithReadMaxBytes(maxMessageBytes), connect.WithSendCompression(""))
+		connect.WithReadMaxBytes(maxMessageBytes), uncompressed())
 	cli.calls.Store(address, service)
 	return service
 }
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -3,9 +3,16 @@
 import (
 	"sync/atomic"
 
+	"connectrpc.com/connect"
 	"github.com/fxamacker/cbor/v2"
 )
 
+// uncompressed keeps a client from asking for compressed answers: a compressor holds most of a megabyte, and what
+// passes between nodes is often compressed already.
+func uncompressed() connect.ClientOption {
+	return connect.WithAcceptCompression("gzip", nil, nil)
+}
+
 // codec encodes control messages, which are plain types of the core, as CBOR and counts their bytes.
 type codec struct {
 	encoding cbor.EncMode
--- a/io/peer/control.go
+++ b/io/peer/control.go
@@ -34,7 +34,7 @@
 	if !found {
 		known, _ = cli.controls.LoadOrStore(key, connect.NewClient[envelope.Envelope[Req], envelope.Envelope[Res]](
 			cli.http, cli.scheme+address.String()+controlPath+procedure,
-			connect.WithCodec(cli.codec), connect.WithReadMaxBytes(controlMaxBytes), connect.WithSendCompression("")))
+			connect.WithCodec(cli.codec), connect.WithReadMaxBytes(controlMaxBytes), uncompressed()))
 	}
 	dataCentre, lead, own := cli.Leader()
 	env := &envelope.Envelope[Req]{DataCentre: dataCentre, Epoch: lead.Epoch, Body: req}
