--- a/cmd/flamingoreach-host/command/command.go
+++ b/cmd/flamingoreach-host/command/command.go
@@ -17,6 +17,7 @@
 	"flamingoreach/io/boundedwriter"
 	"flamingoreach/io/hostnode"
 	"flamingoreach/io/hostsettings"
+	"flamingoreach/io/hostsettings/watch"
 	"flamingoreach/platform"
 )
 
@@ -33,9 +34,8 @@
 	bodyBytes = 64 << 20
 	// bodyTime bounds the reading of a body where the request gives no time.
 	bodyTime = 30 * time.Second
-	// memoryPart is the part of the memory limit that the runtime aims to stay below, and garbagePercent the growth of
-	// the heap between collections: memory at its peak is dearer here than processor time.
-	memoryPart     = 0.6
+	// garbagePercent is the growth of the heap between collections: memory at its peak is dearer on the platform than
+	// processor time.
 	garbagePercent = 60
 )
 
@@ -86,12 +86,11 @@
 		return cli.Exit(err, exitWrongUsage)
 	}
 	debug.SetGCPercent(garbagePercent)
-	debug.SetMemoryLimit(int64(float64(set.MemoryBytes) * memoryPart))
 	lines := boundedwriter.New(os.Stdout, waitingLines)
 	writing, stopWriting := context.WithCancel(context.Background())
 	written := make(chan error, 1)
 	go func() { written <- lines.Run(writing) }()
-	err = serve(ctx, set, newLogger(lines))
+	err = serve(ctx, cmd.String("settings"), set, newLogger(lines))
 	stopWriting()
 	if writeErr := <-written; err == nil && writeErr != nil {
 		err = writeErr
@@ -103,7 +102,7 @@
 }
 
 // serve composes the node with the platform's translation and runs it.
-func serve(ctx context.Context, set hostsettings.Settings, logger *log.Logger) error {
+func serve(ctx context.Context, file string, set hostsettings.Settings, logger *log.Logger) error {
 	store := platform.NewStore(set.Store)
 	defer store.Close()
 	pool := backendconn.NewPool()
@@ -114,6 +113,14 @@
 		Execute: backend.Execute, Sweep: pool.Sweep, Drop: pool.Drop,
 	}, logger)
 	backend.Broke = nod.Broke
+	nod.Reload(set)
+	watching, stopWatching := context.WithCancel(ctx)
+	watched := make(chan error, 1)
+	go func() { watched <- watch.File(watching, file, hangups(), func() { reload(nod, file, logger) }) }()
+	defer func() {
+		stopWatching()
+		_ = <-watched
+	}()
 	return nod.Run(ctx, hostnode.Handlers{
 		Callers: &platform.Front{
 			CallerService: set.Service, BodyBytes: bodyBytes, BodyTime: bodyTime, Serve: nod.Serve, Refused: nod.Refused,
@@ -125,6 +132,23 @@
 	})
 }
 
+// hangups returns the channel of SIGHUP, which says that the settings file has changed.
+func hangups() <-chan os.Signal {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	return signals
+}
+
+// reload puts a changed settings file in force; one with faults leaves the settings as they were.
+func reload(nod *hostnode.Node, file string, logger *log.Logger) {
+	set, err := platform.ReadSettings(file)
+	if err != nil {
+		logger.Error("settings not reloaded", "file", file, "error", err)
+		return
+	}
+	nod.Reload(set)
+}
+
 // newLogger returns a logger of JSON lines.
 func newLogger(wri io.Writer) *log.Logger {
 	return log.NewWithOptions(wri, log.Options{Formatter: log.JSONFormatter, ReportTimestamp: true, TimeFormat: time.RFC3339Nano})
--- a/core/repeatbudget/budget.go
+++ b/core/repeatbudget/budget.go
@@ -3,10 +3,10 @@
 import "sync"
 
 const (
-	// ratioPart is the part of the ratio that is used: each repeat may lead to deeper calls that count as repeats too.
-	ratioPart = 0.5
-	// slackPart is the part of the slack that is used, because two windows may share what one host held.
-	slackPart = 0.5
+	// ratioPart and slackPart are the parts of the bounds that one service's own repeats use. The calls that a repeat
+	// makes count as repeats at the services below, so a service four calls deep carries those of four levels.
+	ratioPart = 0.25
+	slackPart = 0.25
 )
 
 // Budget holds the repeats of one host; it is safe for concurrent use.
@@ -23,6 +23,13 @@
 	return &Budget{ratio: ratio * ratioPart, slack: slack * slackPart, hosts: 1, services: map[string]float64{}}
 }
 
+// SetBounds changes the bounds.
+func (bud *Budget) SetBounds(ratio, slack float64) {
+	bud.mut.Lock()
+	defer bud.mut.Unlock()
+	bud.ratio, bud.slack = ratio*ratioPart, slack*slackPart
+}
+
 // SetHosts tells among how many hosts the slack is divided.
 func (bud *Budget) SetHosts(hosts int) {
 	bud.mut.Lock()
--- a/core/tokenshare/tokenshare.go
+++ b/core/tokenshare/tokenshare.go
@@ -161,7 +161,7 @@
 		buc.decay(now)
 		sha.serve(buc, now)
 		need := buc.demand*cover.Seconds() + float64(len(buc.waiters))
-		if need < leastLoan || buc.tokens >= need/2 {
+		if need < leastLoan || buc.tokens >= need {
 			continue
 		}
 		wants = append(wants, loan.Loan{Account: name, Tokens: 2*need - buc.tokens})
--- a/io/hostnode/configuration.go
+++ b/io/hostnode/configuration.go
@@ -86,11 +86,14 @@
 // anyOther returns a random member that is not this node.
 func (nod *Node) anyOther() (member.Member, bool) {
 	members := nod.view.Load().Members
-	if len(members) == 0 {
+	if len(members) < 2 {
 		return member.Member{}, false
 	}
-	mem := members[rand.IntN(len(members))]
-	return mem, mem.ID != nod.id
+	at := rand.IntN(len(members))
+	if members[at].ID == nod.id {
+		at = (at + 1) % len(members)
+	}
+	return members[at], true
 }
 
 func (nod *Node) askVersionOf(address netip.AddrPort) {
--- a/io/hostnode/node.go
+++ b/io/hostnode/node.go
@@ -62,6 +62,7 @@
 	// Traffic reads these.
 	view    atomic.Pointer[view.View]
 	backend atomic.Pointer[announcement.Announcement]
+	bounds  atomic.Pointer[hostsettings.Bounds]
 	leaving atomic.Bool
 	synced  atomic.Bool
 	// versionAt is when the version in force came, in nanoseconds since 1970.
@@ -86,6 +87,8 @@
 	peerServer *peer.Server
 	listeners  listeners
 	ready      chan struct{}
+	// closeBy is when the listeners must be closed; it is set before the group of loops is interrupted by a drain.
+	closeBy time.Time
 
 	// Control state.
 	self    member.Member
@@ -122,6 +125,7 @@
 		hosts:      map[netip.AddrPort]time.Time{},
 		ready:      make(chan struct{}),
 	}
+	nod.bounds.Store(&set.Bounds)
 	nod.work = &work.Work{Control: nod.control, Tasks: nod.tasks, Log: logger}
 	nod.self = member.Member{
 		ID: nod.id, Peer: set.Peers, Region: set.Region, DataCentre: set.DataCentre, Service: set.Service,
--- a/io/hostnode/run.go
+++ b/io/hostnode/run.go
@@ -19,8 +19,8 @@
 	leaveNotice = 2200 * time.Millisecond
 	// stopParts is the part of the time to stop that running calls may use, of six.
 	stopParts, wholeParts = 5, 6
-	// closeTime is for the last messages and the listeners.
-	closeTime      = 500 * time.Millisecond
+	// closeTime is for the last messages, and for the end of the answers that are being written.
+	closeTime      = 300 * time.Millisecond
 	settleInterval = 50 * time.Millisecond
 
 	headerBytes = 64 << 10
@@ -100,7 +100,7 @@
 // as long as the time to stop allows.
 func (nod *Node) drain() error {
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), nod.settings.Bounds.StopTime*stopParts/wholeParts)
+	ctx, cancel := context.WithTimeout(context.Background(), nod.bounds.Load().StopTime*stopParts/wholeParts)
 	defer cancel()
 	nod.leaving.Store(true)
 	nod.log.Info("node drains", "id", nod.id)
@@ -112,6 +112,7 @@
 	if err := nod.gate.Drain(ctx); err != nil {
 		nod.log.Warn("calls still run", "running", nod.gate.Stats().Running, "after", time.Since(began))
 	}
+	nod.closeBy = time.Now().Add(2 * closeTime)
 	last, cancelLast := context.WithTimeout(context.Background(), closeTime)
 	defer cancelLast()
 	if err := nod.control.Do(last, "node.left", nod.members.Leave); err != nil {
@@ -145,7 +146,7 @@
 }
 
 func (nod *Node) closeListener(lis *httplistener.Listener) {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
+	ctx, cancel := context.WithDeadline(context.Background(), nod.closeBy)
 	defer cancel()
 	if err := lis.Close(ctx); err != nil {
 		nod.log.Warn("listener closed late", "error", err)
