Let requests that began on a stopping host end within the time to stop

Ruled out: the gate, which had drained; the other node, whose backend server was cut by this one's close. The test fails without the change.

--- a/cmd/flamingoreach-host/command/command.go
+++ b/cmd/flamingoreach-host/command/command.go
@@ -117,11 +117,7 @@
 	watching, stopWatching := context.WithCancel(ctx)
 	watched := make(chan error, 1)
 	go func() { watched <- watch.File(watching, file, hangups(), func() { reload(nod, file, logger) }) }()
-	defer func() {
-		stopWatching()
-		_ = <-watched
-	}()
-	return nod.Run(ctx, hostnode.Handlers{
+	err := nod.Run(ctx, hostnode.Handlers{
 		Callers: &platform.Front{
 			CallerService: set.Service, BodyBytes: bodyBytes, BodyTime: bodyTime, Serve: nod.Serve, Refused: nod.Refused,
 		},
@@ -130,6 +126,11 @@
 		},
 		Ready: platform.Ready(nod.TakesWork),
 	})
+	stopWatching()
+	if watchErr := <-watched; err == nil {
+		err = watchErr
+	}
+	return err
 }
 
 // hangups returns the channel of SIGHUP, which says that the settings file has changed.
--- /dev/null
+++ b/io/hostnode/fleet_test.go
@@ -0,0 +1,253 @@
+package hostnode_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"flamingoreach/core/announcement"
+	"flamingoreach/core/answer"
+	"flamingoreach/core/call"
+	"flamingoreach/core/clientaccount"
+	"flamingoreach/core/configuration"
+	"flamingoreach/core/configurationfeed/reading"
+	"flamingoreach/core/keyhash"
+	"flamingoreach/core/localserver"
+	"flamingoreach/core/membership/memberrow"
+	"flamingoreach/core/request"
+	"flamingoreach/core/route"
+	"flamingoreach/io/hostnode"
+	"flamingoreach/io/hostsettings"
+	"flamingoreach/io/message"
+)
+
+const (
+	testTime = 10 * time.Second
+	key      = "key-of-bank-a"
+	bearer   = "Bearer " + key
+	stopTime = 6 * time.Second
+)
+
+// store keeps what the platform's store does, in memory.
+type store struct {
+	mut     sync.Mutex
+	current configuration.Configuration
+	changed chan struct{}
+	rows    map[string]memberrow.Row
+}
+
+func newStore(cfg configuration.Configuration) *store {
+	return &store{current: cfg, changed: make(chan struct{}), rows: map[string]memberrow.Row{}}
+}
+
+func (sto *store) put(cfg configuration.Configuration) {
+	sto.mut.Lock()
+	defer sto.mut.Unlock()
+	sto.current = cfg
+	close(sto.changed)
+	sto.changed = make(chan struct{})
+}
+
+func (sto *store) read() (reading.Reading, <-chan struct{}) {
+	sto.mut.Lock()
+	defer sto.mut.Unlock()
+	cfg := sto.current
+	return reading.Reading{Configuration: &cfg, Revision: cfg.Version}, sto.changed
+}
+
+// host is one node with its backend server, which runs calls by a function.
+type host struct {
+	*hostnode.Node
+
+	settings hostsettings.Settings
+	// away says that the store turns this host away.
+	away atomic.Bool
+	// run, if set, takes the place of an answer at once.
+	run  atomic.Pointer[func(ctx context.Context, cal call.Call) (answer.Answer, message.Message)]
+	runs atomic.Int64
+	stop context.CancelFunc
+	end  chan error
+}
+
+func (hos *host) platform(sto *store) hostnode.Platform {
+	return hostnode.Platform{
+		ReadConfiguration: func(context.Context) (reading.Reading, error) {
+			if hos.away.Load() {
+				return reading.Reading{}, io.ErrUnexpectedEOF
+			}
+			rea, _ := sto.read()
+			return rea, nil
+		},
+		FollowConfiguration: func(ctx context.Context, revision uint64, _ time.Duration) (reading.Reading, error) {
+			for {
+				if hos.away.Load() {
+					return reading.Reading{}, io.ErrUnexpectedEOF
+				}
+				rea, changed := sto.read()
+				if rea.Revision > revision {
+					return rea, nil
+				}
+				select {
+				case <-changed:
+				case <-ctx.Done():
+					return reading.Reading{}, ctx.Err()
+				}
+			}
+		},
+		ReadMembers: func(context.Context, func(string, error)) ([]memberrow.Row, error) {
+			sto.mut.Lock()
+			defer sto.mut.Unlock()
+			var rows []memberrow.Row
+			for _, row := range sto.rows {
+				rows = append(rows, row)
+			}
+			return rows, nil
+		},
+		WriteMember: func(_ context.Context, row memberrow.Row) error {
+			sto.mut.Lock()
+			defer sto.mut.Unlock()
+			sto.rows[row.Member.ID] = row
+			return nil
+		},
+		DeleteMember: func(_ context.Context, id string) error {
+			sto.mut.Lock()
+			defer sto.mut.Unlock()
+			delete(sto.rows, id)
+			return nil
+		},
+		Execute: func(ctx context.Context, ann announcement.Announcement, cal call.Call, msg message.Message) (answer.Answer, message.Message) {
+			hos.runs.Add(1)
+			if run := hos.run.Load(); run != nil {
+				return (*run)(ctx, cal)
+			}
+			return whole(cal), message.Message{Status: http.StatusOK, Body: append([]byte(ann.ID+" "), msg.Body...)}
+		},
+		Sweep: func() {}, Drop: func() {},
+	}
+}
+
+func whole(cal call.Call) answer.Answer { return answer.Answer{CallID: cal.ID} }
+
+func testConfiguration(version uint64) configuration.Configuration {
+	cfg := configuration.Default()
+	cfg.Version = version
+	cfg.Accounts = []clientaccount.ClientAccount{{Name: "bank-a", Rate: 1000, Burst: 1000, Weight: 1, Keys: []keyhash.Hash{keyhash.Of(key)}}}
+	cfg.Routes = []route.Route{
+		{Name: "quotes", Host: "a.example", PathPrefix: "/quotes/", Service: "quotes", Idempotent: true, Timeout: 3 * time.Second, Attempts: 2, Priority: 1, TargetLatency: time.Second},
+		{Name: "confirms", Host: "a.example", PathPrefix: "/confirms/", Service: "confirms", Timeout: 3 * time.Second, Attempts: 2, Priority: 2, TargetLatency: time.Second},
+	}
+	return cfg
+}
+
+// runBy has a function run the calls at the host's backend server.
+func (hos *host) runBy(run func(ctx context.Context, cal call.Call) (answer.Answer, message.Message)) {
+	hos.run.Store(&run)
+}
+
+// startFleet runs one node for each service given and waits until all take work and know each other.
+func startFleet(t *testing.T, sto *store, services ...string) []*host {
+	t.Helper()
+	var hosts []*host
+	for index, service := range services {
+		hos := &host{settings: testSettings(t, fmt.Sprintf("h%d", index), service), end: make(chan error, 1)}
+		hos.start(t, sto)
+		hosts = append(hosts, hos)
+	}
+	require.Eventually(t, func() bool {
+		for _, hos := range hosts {
+			vie := hos.View()
+			if !hos.TakesWork() || len(vie.Serving("quotes"))+len(vie.Serving("confirms")) != len(hosts) {
+				return false
+			}
+		}
+		return true
+	}, testTime, 20*time.Millisecond)
+	return hosts
+}
+
+func (hos *host) start(t *testing.T, sto *store) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	hos.stop = cancel
+	hos.Node = hostnode.New(hos.settings, hos.platform(sto), log.New(io.Discard))
+	go func() {
+		hos.end <- hos.Run(ctx, hostnode.Handlers{Callers: hos, Announcements: http.NotFoundHandler(), Ready: http.NotFoundHandler()})
+	}()
+	t.Cleanup(cancel)
+	select {
+	case <-hos.Ready():
+	case err := <-hos.end:
+		require.NoError(t, err)
+	}
+	require.NoError(t, hos.Announced(ctx, hos.announcement(localserver.Serving, 1)))
+}
+
+func (hos *host) announcement(state string, sequence uint64) announcement.Announcement {
+	return announcement.Announcement{
+		ID: hos.settings.Name, Sequence: sequence, Address: hos.settings.BackendServer, Service: hos.settings.Service,
+		Slots: 4, State: state, Started: time.Unix(1, 0),
+	}
+}
+
+func (hos *host) ask(ctx context.Context, id, path, credential string) (answer.Answer, message.Message) {
+	return hos.Serve(ctx, request.Request{
+		Method: http.MethodGet, Host: "a.example", Path: path, ID: id, Credential: credential, Timeout: 2 * time.Second, CallerService: hos.settings.Service,
+	}, message.Message{Method: http.MethodGet, Target: path, Header: http.Header{}})
+}
+
+// ServeHTTP is a front end without a protocol of its own.
+func (hos *host) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
+	ans, reply := hos.ask(req.Context(), req.URL.Path, req.URL.Path, bearer)
+	if ans.Refusal != nil {
+		wri.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	wri.WriteHeader(reply.Status)
+}
+
+// call asks over a connection to the host.
+func (hos *host) call(ctx context.Context, path string) (int, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+hos.settings.Callers.String()+path, http.NoBody)
+	if err != nil {
+		return 0, err
+	}
+	res, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return 0, err
+	}
+	return res.StatusCode, res.Body.Close()
+}
+
+func testSettings(t *testing.T, name, service string) hostsettings.Settings {
+	t.Helper()
+	return hostsettings.Settings{
+		Name: name, Host: netip.MustParseAddr("127.0.0.1"), DataCentre: "a", Region: "r", Service: service,
+		Callers: freeAddress(t), Announcements: freeAddress(t), Ready: freeAddress(t), Peers: freeAddress(t), Metrics: freeAddress(t),
+		BackendServer: freeAddress(t), MemoryBytes: 1 << 30, LinkBytes: 1 << 30,
+		Bounds: hostsettings.Bounds{RepeatRatio: 0.2, RepeatSlack: 48, StopTime: stopTime},
+	}
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, listener.Close()) }()
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func requireJSON(t *testing.T, text string, into any) {
+	t.Helper()
+	require.NoError(t, json.Unmarshal([]byte(text), into), text)
+}
--- a/io/hostnode/node.go
+++ b/io/hostnode/node.go
@@ -151,6 +151,9 @@
 // Ready is closed once all listeners are bound.
 func (nod *Node) Ready() <-chan struct{} { return nod.ready }
 
+// View returns what traffic knows at present.
+func (nod *Node) View() *view.View { return nod.view.Load() }
+
 // Metrics returns the node's own set.
 func (nod *Node) Metrics() *metricset.MetricSet { return nod.metrics }
 
--- /dev/null
+++ b/io/hostnode/node_test.go
@@ -0,0 +1,196 @@
+package hostnode_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"flamingoreach/core/answer"
+	"flamingoreach/core/call"
+	"flamingoreach/core/localserver"
+	"flamingoreach/core/outcome"
+	"flamingoreach/core/reason"
+	"flamingoreach/core/refusal"
+	"flamingoreach/core/request"
+	"flamingoreach/io/hostnode"
+	"flamingoreach/io/message"
+)
+
+func TestARequestRunsAtAnotherHostWithWhatItNeeds(t *testing.T) {
+	hosts := startFleet(t, newStore(testConfiguration(1)), "quotes", "confirms")
+	calls := make(chan call.Call, 1)
+	hosts[1].runBy(func(_ context.Context, cal call.Call) (answer.Answer, message.Message) {
+		calls <- cal
+		return whole(cal), message.Message{Status: http.StatusOK, Body: []byte("booked")}
+	})
+	ans, reply := hosts[0].ask(t.Context(), "attempt-1", "/confirms/7", bearer)
+	require.Nil(t, ans.Refusal)
+	require.Equal(t, "booked", string(reply.Body))
+	cal := <-calls
+	require.Equal(t, "attempt-1", cal.RequestID)
+	require.Equal(t, "bank-a", cal.Account)
+	require.Equal(t, "quotes", cal.CallerService, "the service of the host at which the call began")
+	require.LessOrEqual(t, time.Until(cal.Deadline), 2*time.Second)
+}
+
+func TestWhatTheConfigurationDoesNotAllowIsRefusedAsNotRun(t *testing.T) {
+	hosts := startFleet(t, newStore(testConfiguration(1)), "quotes", "confirms")
+	for path, expected := range map[string]reason.Reason{"/none/1": reason.UnknownRoute, "/quotes": reason.UnknownRoute} {
+		ans, _ := hosts[0].ask(t.Context(), "a", path, bearer)
+		require.Equal(t, expected, ans.Refusal.Reason, path)
+	}
+	ans, _ := hosts[0].ask(t.Context(), "a", "/quotes/1", "Bearer another-key-0")
+	require.Equal(t, reason.KeyUnknown, ans.Refusal.Reason)
+	require.Equal(t, outcome.NotRun, ans.Refusal.Outcome)
+	require.Zero(t, hosts[0].runs.Load())
+}
+
+func TestAVersionReachesAHostThatTheStoreTurnsAway(t *testing.T) {
+	sto := newStore(testConfiguration(1))
+	hosts := startFleet(t, sto, "quotes", "confirms", "quotes")
+	hosts[2].away.Store(true)
+	without := testConfiguration(4)
+	without.Accounts[0].Keys = nil
+	began := time.Now()
+	sto.put(without)
+	require.Eventually(t, func() bool {
+		ans, _ := hosts[2].ask(t.Context(), "a", "/quotes/1", bearer)
+		return ans.Refusal != nil && ans.Refusal.Reason == reason.KeyUnknown
+	}, 2*time.Second, 20*time.Millisecond, "the bound on a configuration")
+	t.Logf("in force after %s", time.Since(began))
+	sto.put(testConfiguration(3))
+	time.Sleep(time.Second)
+	ans, _ := hosts[2].ask(t.Context(), "a", "/quotes/1", bearer)
+	require.NotNil(t, ans.Refusal, "an older version is never taken")
+}
+
+func TestAConfirmedDrainClosesTheGateAtOnce(t *testing.T) {
+	hosts := startFleet(t, newStore(testConfiguration(1)), "quotes", "quotes")
+	require.NoError(t, hosts[0].Announced(t.Context(), hosts[0].announcement(localserver.Draining, 2)))
+	before := hosts[0].runs.Load()
+	for index := range 20 {
+		ans, reply := hosts[index%2].ask(t.Context(), fmt.Sprint(index), "/quotes/1", bearer)
+		require.Nil(t, ans.Refusal)
+		require.Equal(t, "h1 ", string(reply.Body))
+	}
+	require.Equal(t, before, hosts[0].runs.Load())
+	require.NoError(t, hosts[0].Announced(t.Context(), hosts[0].announcement(localserver.Serving, 1)))
+	_, reply := hosts[0].ask(t.Context(), "late", "/quotes/1", bearer)
+	require.Equal(t, "h1 ", string(reply.Body), "a heartbeat that was overtaken does not open the gate")
+}
+
+func TestTheLastWordOfABackendServerHoldsWhateverItSaysLater(t *testing.T) {
+	hosts := startFleet(t, newStore(testConfiguration(1)), "quotes", "quotes")
+	require.NoError(t, hosts[0].Left(t.Context(), "h0"))
+	require.NoError(t, hosts[0].Announced(t.Context(), hosts[0].announcement(localserver.Serving, 9)))
+	_, reply := hosts[0].ask(t.Context(), "a", "/quotes/1", bearer)
+	require.Equal(t, "h1 ", string(reply.Body))
+	again := hosts[0].announcement(localserver.Serving, 1)
+	again.Started = time.Unix(2, 0)
+	require.NoError(t, hosts[0].Announced(t.Context(), again))
+	require.Eventually(t, func() bool {
+		_, reply := hosts[0].ask(t.Context(), "b", "/quotes/1", bearer)
+		return string(reply.Body) == "h0 "
+	}, testTime, 10*time.Millisecond, "a new process under the same ID serves")
+}
+
+func TestAStopWaitsForTheAnswersOfCallsThatBeganHere(t *testing.T) {
+	hosts := startFleet(t, newStore(testConfiguration(1)), "quotes", "confirms")
+	hosts[1].runBy(func(_ context.Context, cal call.Call) (answer.Answer, message.Message) {
+		time.Sleep(1500 * time.Millisecond)
+		return whole(cal), message.Message{Status: http.StatusOK, Body: []byte("booked")}
+	})
+	hosts[0].stop()
+	require.Eventually(t, func() bool { return !hosts[0].TakesWork() }, testTime, 10*time.Millisecond)
+	time.Sleep(1900 * time.Millisecond)
+	res, err := hosts[0].call(t.Context(), "/confirms/1")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, res)
+	require.NoError(t, <-hosts[0].end)
+}
+
+func TestAStopEndsInTime(t *testing.T) {
+	hosts := startFleet(t, newStore(testConfiguration(1)), "quotes", "confirms")
+	block := make(chan struct{})
+	defer close(block)
+	hosts[0].runBy(func(_ context.Context, cal call.Call) (answer.Answer, message.Message) {
+		<-block
+		return whole(cal), message.Message{Status: http.StatusOK}
+	})
+	go hosts[1].ask(context.Background(), "a", "/quotes/1", bearer)
+	require.Eventually(t, func() bool { return hosts[0].runs.Load() > 0 }, testTime, 10*time.Millisecond)
+	began := time.Now()
+	hosts[0].stop()
+	require.NoError(t, <-hosts[0].end)
+	require.Less(t, time.Since(began), stopTime)
+}
+
+func TestOnlyRepeatableCallsRunAgain(t *testing.T) {
+	hosts := startFleet(t, newStore(testConfiguration(1)), "quotes", "quotes", "confirms", "confirms")
+	for _, hos := range hosts {
+		hos.runBy(func(_ context.Context, cal call.Call) (answer.Answer, message.Message) {
+			ans := whole(cal)
+			ans.Refusal = refusal.Unknown(reason.AnswerTruncated, "test")
+			return ans, message.Message{}
+		})
+	}
+	ans, _ := hosts[0].ask(t.Context(), "a", "/quotes/1", bearer)
+	require.Equal(t, outcome.Unknown, ans.Refusal.Outcome)
+	require.Equal(t, int64(2), hosts[0].runs.Load()+hosts[1].runs.Load(), "as many attempts as the route allows")
+	ans, _ = hosts[0].ask(t.Context(), "b", "/confirms/1", bearer)
+	require.Equal(t, outcome.Unknown, ans.Refusal.Outcome)
+	require.Equal(t, int64(1), hosts[2].runs.Load()+hosts[3].runs.Load())
+}
+
+func TestACrashIsNoticedAndItsCallIsRepeatedElsewhereOnce(t *testing.T) {
+	hosts := startFleet(t, newStore(testConfiguration(1)), "quotes", "quotes")
+	for _, hos := range hosts {
+		hos.runBy(func(_ context.Context, cal call.Call) (answer.Answer, message.Message) {
+			hos.Broke(true)
+			ans := whole(cal)
+			ans.Refusal = refusal.Unknown(reason.AnswerTruncated, "test")
+			return ans, message.Message{}
+		})
+	}
+	ans, _ := hosts[0].ask(t.Context(), "a", "/quotes/poison", bearer)
+	require.Equal(t, outcome.Unknown, ans.Refusal.Outcome)
+	require.Equal(t, int64(2), hosts[0].runs.Load()+hosts[1].runs.Load())
+	for index, hos := range hosts {
+		hos.run.Store(nil)
+		again := hos.announcement(localserver.Serving, 1)
+		again.Started = time.Unix(int64(index+2), 0)
+		require.NoError(t, hos.Announced(t.Context(), again))
+	}
+	time.Sleep(time.Second)
+	for _, hos := range hosts {
+		ans, _ := hos.ask(t.Context(), "again", "/quotes/poison", bearer)
+		require.Equal(t, reason.Quarantined, ans.Refusal.Reason, "two crashes are enough, whichever host is asked")
+	}
+	ans, _ = hosts[0].ask(t.Context(), "other", "/quotes/innocent", bearer)
+	require.Nil(t, ans.Refusal)
+}
+
+func TestTheLogLeadsFromTheRequestsIDToTheReason(t *testing.T) {
+	var out bytes.Buffer
+	set := testSettings(t, "h0", "quotes")
+	hos := &host{settings: set}
+	nod := hostnode.New(set, hos.platform(newStore(testConfiguration(1))), log.NewWithOptions(&out, log.Options{Formatter: log.JSONFormatter}))
+	ans, _ := nod.Serve(t.Context(), request.Request{Host: "a.example", Path: "/quotes/1", ID: "attempt-9"}, message.Message{})
+	require.Equal(t, reason.NoConfiguration, ans.Refusal.Reason)
+	var line struct {
+		RequestID string `json:"requestId"`
+		Reason    string `json:"reason"`
+		Outcome   string `json:"outcome"`
+		Version   uint64 `json:"version"`
+	}
+	requireJSON(t, out.String(), &line)
+	require.Equal(t, "attempt-9", line.RequestID)
+	require.Equal(t, "noConfiguration", line.Reason)
+	require.Equal(t, "notRun", line.Outcome)
+}
--- a/io/hostnode/run.go
+++ b/io/hostnode/run.go
@@ -19,7 +19,7 @@
 	leaveNotice = 2200 * time.Millisecond
 	// stopParts is the part of the time to stop that running calls may use, of six.
 	stopParts, wholeParts = 5, 6
-	// closeTime is for the last messages, and for the end of the answers that are being written.
+	// closeTime is for the end of the answers that are being written.
 	closeTime      = 300 * time.Millisecond
 	settleInterval = 50 * time.Millisecond
 
@@ -96,11 +96,13 @@
 	return nil
 }
 
-// drain tells callers and other nodes that this one leaves, goes on serving until they know, and lets running calls end
-// as long as the time to stop allows.
+// drain tells callers and other nodes that this one leaves, goes on serving until they know, and lets the calls at its
+// gate end as long as the time to stop allows; those that began on this host end while the listeners close.
 func (nod *Node) drain() error {
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), nod.bounds.Load().StopTime*stopParts/wholeParts)
+	bound := began.Add(nod.bounds.Load().StopTime * stopParts / wholeParts)
+	nod.closeBy = bound.Add(closeTime)
+	ctx, cancel := context.WithDeadline(context.Background(), bound)
 	defer cancel()
 	nod.leaving.Store(true)
 	nod.log.Info("node drains", "id", nod.id)
@@ -112,13 +114,12 @@
 	if err := nod.gate.Drain(ctx); err != nil {
 		nod.log.Warn("calls still run", "running", nod.gate.Stats().Running, "after", time.Since(began))
 	}
-	nod.closeBy = time.Now().Add(2 * closeTime)
-	last, cancelLast := context.WithTimeout(context.Background(), closeTime)
+	last, cancelLast := context.WithDeadline(context.Background(), nod.closeBy)
 	defer cancelLast()
 	if err := nod.control.Do(last, "node.left", nod.members.Leave); err != nil {
 		return eris.Wrap(err, "leave")
 	}
-	nod.awaitSettled(last)
+	nod.awaitSettled(ctx)
 	return nil
 }
 
