--- a/core/pick/observation.go
+++ b/core/pick/observation.go
@@ -102,7 +102,7 @@
 		if home.StandsDown(ans.Refusal.Reason) {
 			obs.awayUntil = obs.reported.Add(awayTime)
 		}
-		if ans.Refusal.Reason == reason.BackendServerFailed {
+		if ans.Refusal.Reason == reason.BackendServerError {
 			obs.state = ejection.Fire(obs, obs.state, "failed")
 		}
 		return
--- a/core/reason/reason.go
+++ b/core/reason/reason.go
@@ -33,6 +33,7 @@
 	Quarantined         Reason = "quarantined"
 	BackendServerDown   Reason = "backendServerDown"
 	BackendServerFailed Reason = "backendServerFailed"
+	BackendServerError  Reason = "backendServerError"
 	BackendServerShed   Reason = "backendServerShed"
 	BackendServerMoved  Reason = "backendServerMoved"
 	PeerUnreachable     Reason = "peerUnreachable"
--- a/io/hostnode/node_test.go
+++ b/io/hostnode/node_test.go
@@ -148,6 +148,21 @@
 	require.Equal(t, int64(1), hosts[2].runs.Load()+hosts[3].runs.Load())
 }
 
+func TestAFailureOfABackendServerIsNoCrash(t *testing.T) {
+	hosts := startFleet(t, newStore(testConfiguration(1)), "confirms", "quotes")
+	hosts[1].runBy(func(_ context.Context, cal call.Call) (answer.Answer, message.Message) {
+		ans := whole(cal)
+		ans.Refusal = refusal.Unknown(reason.BackendServerError, "test")
+		return ans, message.Message{Status: http.StatusInternalServerError, Body: []byte("signed")}
+	})
+	ans, reply := hosts[0].ask(t.Context(), "a", "/quotes/1", bearer)
+	require.Equal(t, reason.BackendServerError, ans.Refusal.Reason)
+	require.Equal(t, "signed", string(reply.Body), "the failure itself is told")
+	hosts[1].run.Store(nil)
+	ans, _ = hosts[0].ask(t.Context(), "b", "/quotes/1", bearer)
+	require.Nil(t, ans.Refusal)
+}
+
 func TestACrashIsNoticedAndItsCallIsRepeatedElsewhereOnce(t *testing.T) {
 	hosts := startFleet(t, newStore(testConfiguration(1)), "quotes", "quotes")
 	for _, hos := range hosts {
