--- a/core/pick/observation.go
+++ b/core/pick/observation.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -8,7 +9,9 @@
 	"flamingoreach/core/answer"
 	"flamingoreach/core/home"
 	"flamingoreach/core/machine"
+	"flamingoreach/core/outcome"
 	"flamingoreach/core/reason"
+	"flamingoreach/core/refusal"
 )
 
 const (
@@ -25,6 +28,9 @@
 	ejectionDoubling = 4
 	// awayTime is how long a member is left out after it said that it takes no calls.
 	awayTime = 200 * time.Millisecond
+	// failingWeight is the weight of one call in the average of failures, failingHalfLife the time in which that halves.
+	failingWeight   = 0.05
+	failingHalfLife = 3 * time.Second
 )
 
 // observation is what this node saw of one backend server.
@@ -44,6 +50,9 @@
 	levels    map[string]levelReport
 	capFree   bool
 	awayUntil time.Time
+	// failing is the moving average of the part of calls that failed, counted up to failingAt.
+	failing   float64
+	failingAt time.Time
 	// routes holds the latency of each route's calls, which differ in their work.
 	routes map[string]routeLatency
 }
@@ -75,6 +84,26 @@
 	obs.pic.ejections.Add(1)
 }
 
+// isFailure reports whether a refusal is the backend server's doing: its gate let the call through.
+func isFailure(ref *refusal.Refusal) bool {
+	if ref.Reason == reason.Cancelled || ref.Reason == reason.DeadlineExceeded {
+		return false
+	}
+	return ref.Offered || ref.Outcome == outcome.Unknown
+}
+
+// countFailing counts one call into the moving average, a failed one as 1.
+func (obs *observation) countFailing(failed float64) {
+	obs.failing = obs.failingNow()
+	obs.failingAt = time.Now()
+	obs.failing += (failed - obs.failing) * failingWeight
+}
+
+// failingNow returns the average, which falls with time, so that a member is tried again.
+func (obs *observation) failingNow() float64 {
+	return obs.failing * math.Exp2(-float64(time.Since(obs.failingAt))/float64(failingHalfLife))
+}
+
 // isEjected ends an ejection whose time is over.
 func (obs *observation) isEjected() bool {
 	obs.mux.Lock()
@@ -102,11 +131,13 @@
 		if home.StandsDown(ans.Refusal.Reason) {
 			obs.awayUntil = obs.reported.Add(awayTime)
 		}
-		if ans.Refusal.Reason == reason.BackendServerError {
+		if isFailure(ans.Refusal) {
+			obs.countFailing(1)
 			obs.state = ejection.Fire(obs, obs.state, "failed")
 		}
 		return
 	}
+	obs.countFailing(0)
 	obs.latency += time.Duration(float64(elapsed-obs.latency) * latencyWeight)
 	obs.state = ejection.Fire(obs, obs.state, "succeeded")
 }
@@ -116,6 +147,7 @@
 	defer obs.mux.Unlock()
 	obs.inFlight--
 	obs.capFree = capFree
+	obs.countFailing(1)
 	obs.awayUntil = time.Now().Add(awayTime)
 	obs.state = ejection.Fire(obs, obs.state, "failed")
 }
--- a/core/pick/room.go
+++ b/core/pick/room.go
@@ -17,6 +17,8 @@
 	// that a call is expected to take longer for each whole load above it.
 	roomyLoad  = 0.8
 	loadWeight = 10
+	// failureWeight is the number of latencies that a member's calls count as longer if all of them fail.
+	failureWeight = 10
 )
 
 // The cost of each distance: the round trip, and a factor for what the bytes between places are worth.
@@ -105,7 +107,8 @@
 	}
 	over := max(obs.freshLoad()-roomyLoad, 0) * loadWeight
 	dis := distanceCosts[pic.distance(mem)]
-	cost := time.Duration(float64(latency)*dis.factor*(1+over)) + dis.roundTrip
+	failing := obs.failingPart() * failureWeight
+	cost := time.Duration(float64(latency)*dis.factor*(1+over)*(1+failing)) + dis.roundTrip
 	if obs.isEjected() || obs.isAway() {
 		cost += time.Hour
 	}
@@ -141,6 +144,13 @@
 	return known.latency
 }
 
+// failingPart returns the part of the member's calls that failed of late.
+func (obs *observation) failingPart() float64 {
+	obs.mux.Lock()
+	defer obs.mux.Unlock()
+	return obs.failingNow()
+}
+
 // isAway reports whether the member said of late that it takes no calls.
 func (obs *observation) isAway() bool {
 	obs.mux.Lock()
--- /dev/null
+++ b/core/pick/room_test.go
@@ -0,0 +1,105 @@
+package pick_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingoreach/core/answer"
+	"flamingoreach/core/call"
+	"flamingoreach/core/member"
+	"flamingoreach/core/pick"
+	"flamingoreach/core/reason"
+	"flamingoreach/core/refusal"
+)
+
+const routeName = "quotes"
+
+// near is in the picker's own data centre, beside in its region, far in another one.
+func places() []member.Member {
+	return []member.Member{
+		{ID: "near", Region: "r", DataCentre: "d"}, {ID: "beside", Region: "r", DataCentre: "e"}, {ID: "far", Region: "s", DataCentre: "f"},
+	}
+}
+
+func choose(t *testing.T, pic *pick.Picker, tried ...string) string {
+	t.Helper()
+	mem, found := pic.ChooseByRoom(call.Call{Route: routeName}, places(), tried)
+	require.True(t, found)
+	return mem.ID
+}
+
+func answered(pic *pick.Picker, id string, latency time.Duration, load float64) {
+	pic.Sent(id)
+	pic.Answered(id, "", answer.Answer{Load: load}, latency)
+	pic.AnsweredRoute(id, routeName, latency)
+}
+
+func TestCallsStayNearWhileThatIsAsGood(t *testing.T) {
+	pic := newPicker()
+	require.Equal(t, "near", choose(t, pic), "nothing is known")
+	require.Equal(t, "beside", choose(t, pic, "near"))
+	require.Equal(t, "far", choose(t, pic, "near", "beside"))
+	_, found := pic.ChooseByRoom(call.Call{}, places(), []string{"near", "beside", "far"})
+	require.False(t, found)
+}
+
+func TestCallsLeaveASlowOrFullMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pic := newPicker()
+		answered(pic, "near", 500*time.Millisecond, 0.5)
+		answered(pic, "beside", 100*time.Millisecond, 0.5)
+		require.Equal(t, "beside", choose(t, pic))
+		answered(pic, "beside", 100*time.Millisecond, 1.5)
+		require.Equal(t, "far", choose(t, pic), "unknown members are expected to be as fast as the best")
+		time.Sleep(6 * time.Second)
+		require.Equal(t, "near", choose(t, pic), "old latencies are forgotten")
+	})
+}
+
+func TestCallsLeaveAMemberThatFailsSomeOfThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pic := newPicker()
+		for index := range 40 {
+			answered(pic, "near", 100*time.Millisecond, 0.2)
+			answered(pic, "beside", 100*time.Millisecond, 0.2)
+			if index%3 == 0 {
+				pic.Sent("near")
+				pic.Answered("near", "", answer.Answer{Refusal: refusal.Unknown(reason.AnswerTruncated, "test")}, time.Millisecond)
+			}
+		}
+		require.Equal(t, "beside", choose(t, pic))
+		time.Sleep(20 * time.Second)
+		require.Equal(t, "near", choose(t, pic), "it is tried again")
+	})
+}
+
+func TestRefusalsOfAGateAreNoFailures(t *testing.T) {
+	pic := newPicker()
+	for range 40 {
+		answered(pic, "near", 100*time.Millisecond, 0.2)
+		answered(pic, "beside", 100*time.Millisecond, 0.2)
+		pic.Sent("near")
+		pic.Answered("near", "", answer.Answer{Refusal: refusal.NotRun(reason.SlotsInUse, "test"), Load: 0.2}, time.Millisecond)
+	}
+	require.Equal(t, "near", choose(t, pic))
+}
+
+func TestTheLinkBetweenRegionsIsSpared(t *testing.T) {
+	pic := newPicker()
+	pic.MaySpill = func() bool { return false }
+	answered(pic, "near", time.Second, 2)
+	answered(pic, "beside", time.Second, 2)
+	require.NotEqual(t, "far", choose(t, pic))
+}
+
+func TestAMemberThatIsAwayIsBetterThanNone(t *testing.T) {
+	pic := newPicker()
+	for _, mem := range places() {
+		pic.Sent(mem.ID)
+		pic.Answered(mem.ID, "", answer.Answer{Refusal: refusal.NotRun(reason.Draining, "test")}, time.Millisecond)
+	}
+	require.Equal(t, "near", choose(t, pic))
+}
