--- a/core/localserver/server.go
+++ b/core/localserver/server.go
@@ -34,8 +34,8 @@
 	state     string
 	latest    announcement.Announcement
 	announced time.Time
-	// leaving says that the present process has taken itself off.
-	leaving bool
+	// left holds the start of each process that took itself off, or when it did so if its start was not known.
+	left map[string]time.Time
 	// former lists the IDs of earlier processes, whose announcements may still arrive.
 	former []string
 }
@@ -49,7 +49,7 @@
 	})
 
 // New returns a server that has not announced itself.
-func New() *Server { return &Server{state: chart.Initial()} }
+func New() *Server { return &Server{state: chart.Initial(), left: map[string]time.Time{}} }
 
 // State returns the state of the chart localServer.
 func (ser *Server) State() string { return ser.state }
@@ -69,16 +69,13 @@
 		ser.former = append(ser.former, ser.latest.ID)
 		ser.former = ser.former[max(len(ser.former)-formerKept, 0):]
 	}
-	if another {
-		ser.leaving = false
-	}
 	restarted := ser.state != Absent && another
 	ser.latest = ann
 	ser.announced = time.Now()
 	if restarted {
 		ser.fire("restarted")
 	}
-	if ser.leaving {
+	if ser.hasLeft(ann) {
 		ser.fire(Draining)
 		return true
 	}
@@ -86,18 +83,29 @@
 	return true
 }
 
+// hasLeft reports whether an announcement comes from a process that has taken itself off, and not from a later one of
+// the same ID.
+func (ser *Server) hasLeft(ann announcement.Announcement) bool {
+	at, left := ser.left[ann.ID]
+	return left && !ann.Started.After(at)
+}
+
 // isFormer reports whether an announcement comes from a process that another one has followed.
 func (ser *Server) isFormer(ann announcement.Announcement) bool {
 	return slices.Contains(ser.former, ann.ID) && !ann.Started.After(ser.latest.Started)
 }
 
-// Leaving says that the process with an ID takes no more work, whatever it announces later; it reports whether that
-// is the present one.
+// Leaving says that the process with an ID takes no more work, whatever it announces later. The process need not be
+// known yet, as after a start of this node; Leaving reports whether it is the present one.
 func (ser *Server) Leaving(id string) bool {
+	if len(ser.left) >= formerKept {
+		clear(ser.left)
+	}
 	if id != ser.latest.ID {
+		ser.left[id] = time.Now()
 		return false
 	}
-	ser.leaving = true
+	ser.left[id] = ser.latest.Started
 	ser.announced = time.Now()
 	ser.fire(Draining)
 	return true
--- a/core/localserver/server_test.go
+++ b/core/localserver/server_test.go
@@ -53,3 +53,31 @@
 	ser.Broken()
 	require.Equal(t, []string{"open", "serving", "drain", "draining", "open", "serving", "crash", "absent"}, log)
 }
+
+func TestAnnouncementsOfAProcessAreTakenInTheirOrder(t *testing.T) {
+	var log []string
+	ser := newServer(&log)
+	ser.Announced(announcement.Announcement{ID: "a", Sequence: 4, State: "serving"})
+	ser.Announced(announcement.Announcement{ID: "a", Sequence: 6, State: "draining"})
+	require.False(t, ser.Announced(announcement.Announcement{ID: "a", Sequence: 5, State: "serving"}))
+	require.Equal(t, []string{"open", "serving", "drain", "draining"}, log)
+	ser.Announced(announcement.Announcement{ID: "b", Sequence: 1, State: "serving"})
+	log = nil
+	require.False(t, ser.Announced(announcement.Announcement{ID: "a", Sequence: 9, State: "serving"}), "another process has followed")
+	require.Empty(t, log)
+}
+
+func TestAProcessThatLeftStaysOffEvenIfItWasNotKnownYet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log []string
+		ser := newServer(&log)
+		started := time.Now()
+		time.Sleep(time.Second)
+		require.False(t, ser.Leaving("a"), "this node has just started")
+		ser.Announced(announcement.Announcement{ID: "a", Sequence: 18, State: "serving", Started: started})
+		require.Empty(t, log, "a late heartbeat does not open the gate")
+		time.Sleep(time.Second)
+		ser.Announced(announcement.Announcement{ID: "a", Sequence: 1, State: "serving", Started: time.Now()})
+		require.Equal(t, []string{"open", "serving"}, log, "a new process under the same ID serves")
+	})
+}
