--- a/io/hostnode/calls.go
+++ b/io/hostnode/calls.go
@@ -171,7 +171,7 @@
 		return
 	}
 	nod.atGate.Write("gate refused", "requestId", cal.RequestID, "callId", cal.ID, "route", cal.Route, "step", ans.Refusal.Step,
-		"reason", ans.Refusal.Reason, "outcome", ans.Refusal.Outcome, "load", ans.Load, "offered", ans.Refusal.Offered)
+		"reason", ans.Refusal.Reason, "outcome", ans.Refusal.Outcome, "load", ans.Load)
 }
 
 // decided logs and counts the end of a request that began on this host.
@@ -190,7 +190,10 @@
 	if ref := ans.Refusal; ref != nil {
 		out, line = ref.Outcome, nod.refused
 		nod.metrics.Refused(layer, ref.Reason)
-		fields = append(fields, "step", ref.Step, "reason", ref.Reason, "peer", ref.Peer, "retryAfter", ref.RetryAfter)
+		fields = append(fields, "step", ref.Step, "reason", ref.Reason, "retryAfter", ref.RetryAfter)
+		if ref.Peer.IsValid() {
+			fields = append(fields, "peer", ref.Peer)
+		}
 	} else {
 		nod.metrics.Answered(layer)
 	}
