--- a/core/attempt/runner.go
+++ b/core/attempt/runner.go
@@ -33,6 +33,9 @@
 	// FreeGates is the number of gates that a call may ask one after the other, as long as each refuses it before its
 	// backend server was asked, without spending its allowance or the budget; 0 makes each further gate a retry.
 	FreeGates int
+	// AtOnce, if set, reports whether an attempt at a member must not wait for a slot, because others are to be asked
+	// first; tried lists the members asked so far, this one included.
+	AtOnce func(mem member.Member, candidates []member.Member, tried []string) bool
 	// OnRetry is told the reason of each retry.
 	OnRetry func(why reason.Reason)
 	// OnDenied, if set, is told why a retry that could have helped is not made.
@@ -120,7 +123,7 @@
 	cou.tried = append(cou.tried, cou.chosen.ID)
 	cal := cou.cal
 	cal.Allowance = cou.allowance.LendAllButOne()
-	cal.AtOnce = len(cou.tried) < min(cou.run.FreeGates, len(cou.candidates))
+	cal.AtOnce = cou.run.AtOnce != nil && cou.run.AtOnce(cou.chosen, cou.candidates, cou.tried)
 	cou.run.Sent(cou.chosen.ID)
 	started := time.Now()
 	ans, err := cou.send(cou.ctx, cou.chosen, cal)
--- a/core/pick/room.go
+++ b/core/pick/room.go
@@ -28,7 +28,7 @@
 }{
 	locality.SameDataCentre: {0, 1},
 	locality.SameRegion:     {2 * time.Millisecond, 1.3},
-	locality.OtherRegion:    {20 * time.Millisecond, 2.5},
+	locality.OtherRegion:    {20 * time.Millisecond, 8},
 }
 
 // routeLatency is the moving average of one route's latency at one member.
@@ -60,6 +60,22 @@
 	return best, found
 }
 
+// AtOnce reports whether a call must not wait for a slot at a member: as long as others in this region were not asked,
+// and in other regions always, as the bytes between regions are dear. So a call waits at the last member near.
+func (pic *Picker) AtOnce(mem member.Member, candidates []member.Member, tried []string) bool {
+	near := false
+	for _, other := range candidates {
+		if pic.distance(other) == locality.OtherRegion {
+			continue
+		}
+		near = true
+		if !pic.isTried(other, tried) {
+			return true
+		}
+	}
+	return near && pic.distance(mem) == locality.OtherRegion
+}
+
 // chooseNear is used while the link between regions has no room.
 func (pic *Picker) chooseNear(cal call.Call, candidates []member.Member, tried []string, known time.Duration) (member.Member, bool) {
 	best, lowest, found := member.Member{}, time.Duration(0), false
--- a/core/pick/room_test.go
+++ b/core/pick/room_test.go
@@ -52,7 +52,9 @@
 		answered(pic, "near", 500*time.Millisecond, 0.5)
 		answered(pic, "beside", 100*time.Millisecond, 0.5)
 		require.Equal(t, "beside", choose(t, pic))
-		answered(pic, "beside", 100*time.Millisecond, 1.5)
+		answered(pic, "beside", 100*time.Millisecond, 2.5)
+		require.Equal(t, "near", choose(t, pic), "a full member is worse than a slow one")
+		answered(pic, "near", 5*time.Second, 2.5)
 		require.Equal(t, "far", choose(t, pic), "unknown members are expected to be as fast as the best")
 		time.Sleep(6 * time.Second)
 		require.Equal(t, "near", choose(t, pic), "old latencies are forgotten")
@@ -103,3 +105,12 @@
 	}
 	require.Equal(t, "near", choose(t, pic))
 }
+
+func TestACallWaitsAtTheLastMemberNear(t *testing.T) {
+	pic := newPicker()
+	members := places()
+	require.True(t, pic.AtOnce(members[0], members, []string{"near"}), "another one is near")
+	require.False(t, pic.AtOnce(members[1], members, []string{"near", "beside"}))
+	require.True(t, pic.AtOnce(members[2], members, []string{"near", "beside", "far"}))
+	require.False(t, pic.AtOnce(members[2], members[2:], []string{"far"}), "none is near")
+}
--- a/io/hostnode/calls.go
+++ b/io/hostnode/calls.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	// freeGates is the number of gates that a call may ask for a free slot; at the last one it may wait.
+	// freeGates is the number of gates that a call may ask for a slot.
 	freeGates = 4
 	// answerGrace is the time in which the answer to a call that ended at its deadline still arrives.
 	answerGrace = 50 * time.Millisecond
@@ -51,6 +51,7 @@
 		OnRetry:    nod.metrics.Retried,
 		OnDenied:   nod.metrics.RetryDenied,
 		FreeGates:  freeGates,
+		AtOnce:     nod.picker.AtOnce,
 	}
 	nod.picker.MaySpill = nod.link.Take
 	nod.admission = &admission.Admission{
