--- /dev/null
+++ b/soak/faults.go
@@ -0,0 +1,93 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+)
+
+// fault is one kind of trouble that may befall a host, or the fleet.
+type fault struct {
+	name string
+	// strike runs until the fault has passed.
+	strike func(ctx context.Context, fle *Fleet, hos *host, ran *rand.Rand)
+}
+
+// faults lists all kinds.
+func faults() []fault {
+	return []fault{
+		{"stop", func(ctx context.Context, _ *Fleet, hos *host, _ *rand.Rand) {
+			began := time.Now()
+			if node := hos.signal(syscall.SIGTERM); node != nil {
+				<-node.Ended()
+				if took := time.Since(began); took > graceTime {
+					hos.backend.ledger.violate("stop", "%s ended after %s", hos.name, took)
+				}
+			}
+			_ = hos.start(ctx)
+		}},
+		{"kill", func(ctx context.Context, _ *Fleet, hos *host, ran *rand.Rand) {
+			if node := hos.signal(syscall.SIGKILL); node != nil {
+				<-node.Ended()
+			}
+			sleep(ctx, span(ran, time.Second))
+			_ = hos.start(ctx)
+		}},
+		{"pause", func(ctx context.Context, _ *Fleet, hos *host, ran *rand.Rand) {
+			hos.signal(syscall.SIGSTOP)
+			sleep(ctx, span(ran, 2*time.Second))
+			hos.signal(syscall.SIGCONT)
+		}},
+		{"reload", func(_ context.Context, _ *Fleet, hos *host, _ *rand.Rand) { hos.signal(syscall.SIGHUP) }},
+		{"store", func(ctx context.Context, _ *Fleet, hos *host, ran *rand.Rand) {
+			ways := []string{refuses, silent, resets, slow, loses}
+			hos.harm()
+			hos.door.set(ways[ran.IntN(len(ways))])
+			sleep(ctx, span(ran, 4*time.Second))
+			hos.door.set(well)
+			hos.harm()
+		}},
+		{"storeForAll", func(ctx context.Context, fle *Fleet, _ *host, ran *rand.Rand) {
+			way := []string{refuses, silent, resets, slow}[ran.IntN(4)]
+			for _, hos := range fle.hosts {
+				hos.harm()
+				hos.door.set(way)
+			}
+			sleep(ctx, span(ran, 3*time.Second))
+			for _, hos := range fle.hosts {
+				hos.door.set(well)
+				hos.harm()
+			}
+		}},
+		{"history", func(_ context.Context, fle *Fleet, _ *host, _ *rand.Rand) { fle.store.forget() }},
+		{"keys", func(_ context.Context, fle *Fleet, _ *host, _ *rand.Rand) { fle.changeKeys() }},
+		{"lostAnswers", func(ctx context.Context, _ *Fleet, hos *host, ran *rand.Rand) {
+			hos.backend.losing.Store(30)
+			sleep(ctx, span(ran, 2*time.Second))
+			hos.backend.losing.Store(0)
+		}},
+		{"release", func(ctx context.Context, _ *Fleet, hos *host, ran *rand.Rand) {
+			hos.backend.draining.Store(true)
+			sleep(ctx, drainTime+span(ran, 2*time.Second))
+			hos.backend.restart()
+		}},
+	}
+}
+
+func span(ran *rand.Rand, most time.Duration) time.Duration {
+	return most/10 + time.Duration(ran.Int64N(int64(most)))
+}
+
+func sleep(ctx context.Context, span time.Duration) {
+	select {
+	case <-time.After(span):
+	case <-ctx.Done():
+	}
+}
+
+// describe names a fault as it is written down.
+func describe(at time.Duration, fau fault, hos *host) string {
+	return fmt.Sprintf("%6.2f s %s at %s", at.Seconds(), fau.name, hos.name)
+}
--- /dev/null
+++ b/soak/host.go
@@ -0,0 +1,150 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"flamingoreach/proofs/process"
+)
+
+const (
+	callersPort = 8548
+	readyPort   = 8546
+	controlPort = 8540
+	backendPort = 8547
+	storePort   = 8545
+	peersPort   = 7000
+	graceTime   = 6 * time.Second
+)
+
+// host is one node process with its backend server and its own view of the store.
+type host struct {
+	name    string
+	address netip.Addr
+	callers netip.AddrPort
+	folder  string
+	program string
+	door    *door
+	backend *backend
+
+	mut     sync.Mutex
+	node    *process.Process
+	starts  int
+	harmed  time.Time
+	servers []*http.Server
+}
+
+// newHost binds the stand-ins of a host and writes its settings; it fails if an address is taken.
+func newHost(ctx context.Context, fleet *Fleet, number int) (*host, error) {
+	address := netip.AddrFrom4([4]byte{127, byte(10 + fleet.number), 1, byte(number + 1)})
+	service := []string{"quotes", "confirms"}[number%2]
+	hos := &host{
+		name: fmt.Sprintf("host%d", number), address: address, callers: netip.AddrPortFrom(address, callersPort),
+		folder: fleet.folder, program: fleet.program, door: &door{store: fleet.store, way: well},
+	}
+	hos.backend = &backend{
+		service: service, address: netip.AddrPortFrom(address, backendPort), control: netip.AddrPortFrom(address, controlPort), ledger: fleet.ledger,
+	}
+	hos.backend.restart()
+	for port, handler := range map[uint16]http.Handler{storePort: hos.door, backendPort: hos.backend} {
+		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", netip.AddrPortFrom(address, port).String())
+		if err != nil {
+			hos.close()
+			return nil, eris.Wrap(err, "bind stand-in")
+		}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+		hos.servers = append(hos.servers, server)
+		go func() { _ = server.Serve(listener) }()
+	}
+	return hos, hos.writeSettings(number, service)
+}
+
+func (hos *host) writeSettings(number int, service string) error {
+	text := fmt.Sprintf(`[self]
+nodeId = %q
+ip = %q
+zone = "z%d"
+region = "r"
+appAddr = "%s:%d"
+service = %q
+[self.limits]
+memoryMb = 256
+linkMbps = 1000.0
+[network]
+portRange = [%d, %d]
+[network.listen]
+outbound = "%s:%d"
+ready = "%s:%d"
+control = "%s:%d"
+[platform.platform]
+address = "%s:%d"
+[terms.bounds]
+graceS = %d
+configMs = 2000
+retryBudgetRatio = 0.2
+budgetSlack = 48
+`, hos.name, hos.address, number/2%2, hos.address, backendPort, service, peersPort, peersPort+15, hos.address, callersPort,
+		hos.address, readyPort, hos.address, controlPort, hos.address, storePort, int(graceTime.Seconds()))
+	return eris.Wrap(os.WriteFile(hos.file("toml"), []byte(text), 0o600), "write settings")
+}
+
+func (hos *host) file(ending string) string { return filepath.Join(hos.folder, hos.name+"."+ending) }
+
+// start runs the node process, unless one lives.
+func (hos *host) start(ctx context.Context) error {
+	hos.mut.Lock()
+	defer hos.mut.Unlock()
+	if hos.node != nil && hos.node.Alive() {
+		return nil
+	}
+	hos.starts++
+	hos.harmed = time.Now()
+	node, err := process.Start(ctx, filepath.Join(hos.folder, fmt.Sprintf("%s-%d", hos.name, hos.starts)), hos.program, "node", "--settings", hos.file("toml"))
+	hos.node = node
+	return err
+}
+
+// signal sends a signal to the node process if it lives, and returns the process.
+func (hos *host) signal(sig syscall.Signal) *process.Process {
+	hos.mut.Lock()
+	defer hos.mut.Unlock()
+	hos.harmed = time.Now()
+	if hos.node != nil && hos.node.Alive() {
+		hos.node.Signal(sig)
+	}
+	return hos.node
+}
+
+// harm notes a fault that is not a signal.
+func (hos *host) harm() {
+	hos.mut.Lock()
+	defer hos.mut.Unlock()
+	hos.harmed = time.Now()
+}
+
+// calmFor reports whether nothing has happened to the host for a time.
+func (hos *host) calmFor(span time.Duration) bool {
+	hos.mut.Lock()
+	defer hos.mut.Unlock()
+	return time.Since(hos.harmed) > span
+}
+
+// close ends the node process and the stand-ins.
+func (hos *host) close() {
+	if node := hos.signal(syscall.SIGCONT); node != nil && node.Alive() {
+		node.Kill()
+	}
+	for _, server := range hos.servers {
+		_ = server.Close()
+	}
+}
--- /dev/null
+++ b/soak/ledger.go
@@ -0,0 +1,84 @@
+package soak
+
+import (
+	"fmt"
+	"sync"
+)
+
+// Violation is one broken promise.
+type Violation struct {
+	Promise string
+	Detail  string
+}
+
+// String returns the promise and what was seen.
+func (vio Violation) String() string { return vio.Promise + ": " + vio.Detail }
+
+// ledger holds what backend servers ran and what callers were told.
+type ledger struct {
+	mut        sync.Mutex
+	runs       map[string]int
+	told       map[string]answerTold
+	violations []Violation
+	served     int
+	asked      int
+}
+
+// answerTold is the answer to one request.
+type answerTold struct {
+	status     int
+	idempotent bool
+}
+
+func newLedger() *ledger {
+	return &ledger{runs: map[string]int{}, told: map[string]answerTold{}}
+}
+
+func (led *ledger) violate(promise, format string, args ...any) {
+	led.mut.Lock()
+	defer led.mut.Unlock()
+	led.violations = append(led.violations, Violation{Promise: promise, Detail: fmt.Sprintf(format, args...)})
+}
+
+func (led *ledger) ran(id string) {
+	led.mut.Lock()
+	defer led.mut.Unlock()
+	led.runs[id]++
+}
+
+func (led *ledger) answered(id string, told answerTold) {
+	led.mut.Lock()
+	defer led.mut.Unlock()
+	led.asked++
+	if told.status == statusOK {
+		led.served++
+	}
+	led.told[id] = told
+}
+
+// counts returns the requests asked and served since the last call.
+func (led *ledger) counts() (asked, served int) {
+	led.mut.Lock()
+	defer led.mut.Unlock()
+	asked, served = led.asked, led.served
+	led.asked, led.served = 0, 0
+	return asked, served
+}
+
+// check compares what ran with what was told, once all is over.
+func (led *ledger) check() []Violation {
+	led.mut.Lock()
+	defer led.mut.Unlock()
+	for id, told := range led.told {
+		runs := led.runs[id]
+		switch {
+		case !told.idempotent && runs > 1:
+			led.violations = append(led.violations, Violation{"at most once", fmt.Sprintf("%s ran %d times", id, runs)})
+		case !told.idempotent && runs > 0 && (told.status == statusTooMany || told.status == statusUnavailable):
+			led.violations = append(led.violations, Violation{"not run", fmt.Sprintf("%s was told %d and ran", id, told.status)})
+		case told.status == statusOK && runs == 0:
+			led.violations = append(led.violations, Violation{"own answer", id + " was served and did not run"})
+		}
+	}
+	return led.violations
+}
