--- a/soak/client.go
+++ b/soak/client.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
-	"strings"
 	"time"
+
+	"flamingoreach/platform/standin"
 )
 
 const (
@@ -14,6 +14,9 @@
 	// configurationTime is the time after which a version must be in force at a host that nothing befell.
 	configurationTime = 3 * time.Second
 	thinkTime         = 20 * time.Millisecond
+	// repeatableOf and withdrawnOf are the numbers of requests of which one must not run twice, or shows a withdrawn key.
+	repeatableOf = 3
+	withdrawnOf  = 17
 )
 
 // client sends requests to one node on connections that it keeps until the process is gone.
@@ -21,60 +24,42 @@
 	name   string
 	host   *host
 	fleet  *Fleet
-	client http.Client
+	caller *standin.Caller
 }
 
 func (cli *client) run(ctx context.Context) {
-	cli.client.Transport = &http.Transport{MaxIdleConnsPerHost: 4}
+	defer cli.caller.Close()
 	for number := 0; ctx.Err() == nil; number++ {
 		cli.send(ctx, number)
-		select {
-		case <-time.After(thinkTime):
-		case <-ctx.Done():
-		}
+		sleep(ctx, thinkTime)
 	}
-	cli.client.CloseIdleConnections()
 }
 
 func (cli *client) send(ctx context.Context, number int) {
 	id := fmt.Sprintf("%s-%d", cli.name, number)
-	idempotent := number%3 != 0
+	idempotent := number%repeatableOf != 0
 	method, path := http.MethodGet, "/quotes/"
 	if !idempotent {
 		method, path = http.MethodPost, "/confirms/"
 	}
 	shown := cli.fleet.key(number)
-	ctx, cancel := context.WithTimeout(ctx, requestTime)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+cli.host.callers.String()+path+id, strings.NewReader(id))
-	if err != nil {
-		return
-	}
-	req.Host = "soak.example"
-	req.Header.Set("Attempt-Id", id)
-	req.Header.Set("Deadline-Ms", fmt.Sprint(requestTime.Milliseconds()))
-	req.Header.Set("Authorization", "Bearer "+shown.text)
 	started := time.Now()
-	res, err := cli.client.Do(req)
+	rep, err := cli.caller.Send(ctx, standin.Request{
+		ID: id, Method: method, Host: hostName, Path: path + id, Key: shown.text, Body: id, Timeout: requestTime,
+	})
 	if err != nil {
 		cli.fleet.ledger.answered(id, answerTold{idempotent: idempotent})
 		return
 	}
-	body, err := io.ReadAll(res.Body)
-	_ = res.Body.Close()
-	status := res.StatusCode
-	if err != nil {
-		status = 0
-	}
-	cli.fleet.ledger.answered(id, answerTold{status: status, idempotent: idempotent})
+	cli.fleet.ledger.answered(id, answerTold{status: rep.Status, idempotent: idempotent})
 	switch {
-	case status == statusOK && (string(body) != id || res.Header.Get("Response-Signature") == ""):
-		cli.fleet.ledger.violate("own answer", "%s got %q", id, body)
-	case status == statusOK && surely(shown.withdrawn, started, cli.host):
+	case rep.Status == statusOK && (rep.Body != id || !rep.Signed):
+		cli.fleet.ledger.violate("own answer", "%s got %q", id, rep.Body)
+	case rep.Status == statusOK && surely(shown.withdrawn, started, cli.host):
 		cli.fleet.ledger.violate("withdrawn key", "%s ran %s after its key was withdrawn", id, started.Sub(shown.withdrawn))
-	case status == http.StatusUnauthorized && shown.withdrawn.IsZero() && surely(shown.granted, started, cli.host) && cli.fleet.isValid(shown):
-		cli.fleet.ledger.violate("no wrongful refusal", "%s got %d with a key granted %s ago", id, status, started.Sub(shown.granted))
-	case status == http.StatusNotFound:
-		cli.fleet.ledger.violate("no wrongful refusal", "%s got %d", id, status)
+	case rep.Status == http.StatusUnauthorized && shown.withdrawn.IsZero() && surely(shown.granted, started, cli.host) && cli.fleet.isValid(shown):
+		cli.fleet.ledger.violate("no wrongful refusal", "%s got %d with a key granted %s ago", id, rep.Status, started.Sub(shown.granted))
+	case rep.Status == http.StatusNotFound:
+		cli.fleet.ledger.violate("no wrongful refusal", "%s got %d", id, rep.Status)
 	}
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"syscall"
 	"time"
+
+	"flamingoreach/platform/standin"
 )
 
 // fault is one kind of trouble that may befall a host, or the fleet.
@@ -23,7 +25,7 @@
 			if node := hos.signal(syscall.SIGTERM); node != nil {
 				<-node.Ended()
 				if took := time.Since(began); took > graceTime {
-					hos.backend.ledger.violate("stop", "%s ended after %s", hos.name, took)
+					hos.ledger.violate("stop", "%s ended after %s", hos.name, took)
 				}
 			}
 			_ = hos.start(ctx)
@@ -42,36 +44,36 @@
 		}},
 		{"reload", func(_ context.Context, _ *Fleet, hos *host, _ *rand.Rand) { hos.signal(syscall.SIGHUP) }},
 		{"store", func(ctx context.Context, _ *Fleet, hos *host, ran *rand.Rand) {
-			ways := []string{refuses, silent, resets, slow, loses}
+			ways := []standin.Way{standin.Refuses, standin.Silent, standin.Resets, standin.Slow, standin.Loses}
 			hos.harm()
-			hos.door.set(ways[ran.IntN(len(ways))])
+			hos.door.Set(ways[ran.IntN(len(ways))])
 			sleep(ctx, span(ran, 4*time.Second))
-			hos.door.set(well)
+			hos.door.Set(standin.Well)
 			hos.harm()
 		}},
 		{"storeForAll", func(ctx context.Context, fle *Fleet, _ *host, ran *rand.Rand) {
-			way := []string{refuses, silent, resets, slow}[ran.IntN(4)]
+			way := []standin.Way{standin.Refuses, standin.Silent, standin.Resets, standin.Slow}[ran.IntN(4)]
 			for _, hos := range fle.hosts {
 				hos.harm()
-				hos.door.set(way)
+				hos.door.Set(way)
 			}
 			sleep(ctx, span(ran, 3*time.Second))
 			for _, hos := range fle.hosts {
-				hos.door.set(well)
+				hos.door.Set(standin.Well)
 				hos.harm()
 			}
 		}},
-		{"history", func(_ context.Context, fle *Fleet, _ *host, _ *rand.Rand) { fle.store.forget() }},
+		{"history", func(_ context.Context, fle *Fleet, _ *host, _ *rand.Rand) { fle.store.Forget() }},
 		{"keys", func(_ context.Context, fle *Fleet, _ *host, _ *rand.Rand) { fle.changeKeys() }},
 		{"lostAnswers", func(ctx context.Context, _ *Fleet, hos *host, ran *rand.Rand) {
-			hos.backend.losing.Store(30)
+			hos.backend.LoseAnswers(30)
 			sleep(ctx, span(ran, 2*time.Second))
-			hos.backend.losing.Store(0)
+			hos.backend.LoseAnswers(0)
 		}},
 		{"release", func(ctx context.Context, _ *Fleet, hos *host, ran *rand.Rand) {
-			hos.backend.draining.Store(true)
+			hos.backend.Drain()
 			sleep(ctx, drainTime+span(ran, 2*time.Second))
-			hos.backend.restart()
+			hos.backend.Restart()
 		}},
 	}
 }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -3,21 +3,25 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"flamingoreach/platform/standin"
 )
 
-const accountName = "bank-a"
+const (
+	accountName = "bank-a"
+	hostName    = "soak.example"
+)
 
 // Fleet is the processes and stand-ins of one seed.
 type Fleet struct {
 	number  int
 	folder  string
 	program string
-	store   *store
+	store   *standin.Store
 	ledger  *ledger
 	hosts   []*host
 
@@ -43,7 +47,7 @@
 // newFleet starts node processes; number sets the fleet's addresses apart from those of others on this machine.
 func newFleet(ctx context.Context, program, folder string, number, size int) (*Fleet, error) {
 	fle := &Fleet{
-		number: number, folder: folder, program: program, store: newStore(), ledger: newLedger(),
+		number: number, folder: folder, program: program, store: standin.NewStore(), ledger: newLedger(),
 		keys: []key{{text: "key-one-of-bank-a", granted: time.Now()}, {text: "key-two-of-bank-a", granted: time.Now()}},
 	}
 	fle.configure()
@@ -73,12 +77,9 @@
 	fle.version += 1 + fle.version%3
 	var keys []string
 	for _, valid := range fle.keys {
-		keys = append(keys, fmt.Sprintf("%q", valid.text))
+		keys = append(keys, valid.text)
 	}
-	text := fmt.Sprintf(`{"version":"%08x","routes":{"columns":["name","hostname","prefix","service","kind","timeoutMs","targetLatencyMs","priority","maxAttempts","public"],`+
-		`"rows":[["q","soak.example","/quotes/","quotes","idempotent",1500,1000,2,2,false],["c","soak.example","/confirms/","confirms","non_idempotent",1500,1000,0,2,false]]},`+
-		`"tenants":{"columns":["name","apiKeys","ratePerS","burst"],"rows":[[%q,[%s],5000,5000]]}}`, fle.version, accountName, strings.Join(keys, ","))
-	fle.store.write(row{TableName: "op", Key: "config", Value: []byte(text)})
+	fle.store.PutConfiguration(standin.Configuration(fle.version, hostName, accountName, keys))
 }
 
 // changeKeys withdraws a key and grants another one.
--- a/soak/host.go
+++ b/soak/host.go
@@ -14,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"flamingoreach/platform/standin"
 	"flamingoreach/proofs/process"
 )
 
@@ -34,8 +35,9 @@
 	callers netip.AddrPort
 	folder  string
 	program string
-	door    *door
-	backend *backend
+	door    *standin.Door
+	backend *standin.BackendServer
+	ledger  *ledger
 
 	mut     sync.Mutex
 	node    *process.Process
@@ -50,12 +52,12 @@
 	service := []string{"quotes", "confirms"}[number%2]
 	hos := &host{
 		name: fmt.Sprintf("host%d", number), address: address, callers: netip.AddrPortFrom(address, callersPort),
-		folder: fleet.folder, program: fleet.program, door: &door{store: fleet.store, way: well},
+		folder: fleet.folder, program: fleet.program, door: fleet.store.Door(), ledger: fleet.ledger,
 	}
-	hos.backend = &backend{
-		service: service, address: netip.AddrPortFrom(address, backendPort), control: netip.AddrPortFrom(address, controlPort), ledger: fleet.ledger,
+	hos.backend = &standin.BackendServer{
+		Service: service, Address: netip.AddrPortFrom(address, backendPort), Announcements: netip.AddrPortFrom(address, controlPort), Ran: fleet.ledger.ran,
 	}
-	hos.backend.restart()
+	hos.backend.Restart()
 	for port, handler := range map[uint16]http.Handler{storePort: hos.door, backendPort: hos.backend} {
 		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", netip.AddrPortFrom(address, port).String())
 		if err != nil {
@@ -70,31 +72,10 @@
 }
 
 func (hos *host) writeSettings(number int, service string) error {
-	text := fmt.Sprintf(`[self]
-nodeId = %q
-ip = %q
-zone = "z%d"
-region = "r"
-appAddr = "%s:%d"
-service = %q
-[self.limits]
-memoryMb = 256
-linkMbps = 1000.0
-[network]
-portRange = [%d, %d]
-[network.listen]
-outbound = "%s:%d"
-ready = "%s:%d"
-control = "%s:%d"
-[platform.platform]
-address = "%s:%d"
-[terms.bounds]
-graceS = %d
-configMs = 2000
-retryBudgetRatio = 0.2
-budgetSlack = 48
-`, hos.name, hos.address, number/2%2, hos.address, backendPort, service, peersPort, peersPort+15, hos.address, callersPort,
-		hos.address, readyPort, hos.address, controlPort, hos.address, storePort, int(graceTime.Seconds()))
+	text := standin.Settings(standin.Place{
+		Name: hos.name, Address: hos.address, DataCentre: fmt.Sprint("z", number/2%2), Service: service, StopTime: graceTime,
+		Callers: callersPort, Ready: readyPort, Announcements: controlPort, BackendServer: backendPort, StoreDoor: storePort, Peers: peersPort,
+	})
 	return eris.Wrap(os.WriteFile(hos.file("toml"), []byte(text), 0o600), "write settings")
 }
 
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -2,7 +2,20 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
+	"time"
+
+	"flamingoreach/platform/standin"
+)
+
+const (
+	statusOK          = http.StatusOK
+	statusTooMany     = http.StatusTooManyRequests
+	statusUnavailable = http.StatusServiceUnavailable
+
+	// drainTime is how long a backend server may still get requests after its leaving was confirmed.
+	drainTime = 2 * time.Second
 )
 
 // Violation is one broken promise.
@@ -40,10 +53,20 @@
 	led.violations = append(led.violations, Violation{Promise: promise, Detail: fmt.Sprintf(format, args...)})
 }
 
-func (led *ledger) ran(id string) {
+// ran notes a run at a backend server and checks what came with it.
+func (led *ledger) ran(see standin.Seen) {
+	if see.Leaving > drainTime {
+		led.violate("drain", "%s reached a backend server %s after its leaving was confirmed", see.ID, see.Leaving)
+	}
+	if see.Credential != "" {
+		led.violate("no key", "%s came with a key", see.ID)
+	}
+	if see.Account != accountName {
+		led.violate("account", "%s came for %q", see.ID, see.Account)
+	}
 	led.mut.Lock()
 	defer led.mut.Unlock()
-	led.runs[id]++
+	led.runs[see.ID]++
 }
 
 func (led *ledger) answered(id string, told answerTold) {
--- a/soak/run.go
+++ b/soak/run.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"flamingoreach/platform/standin"
 )
 
 const (
@@ -50,9 +52,9 @@
 	sending, stop := context.WithCancel(ctx)
 	var loops sync.WaitGroup
 	for _, hos := range fle.hosts {
-		loops.Go(func() { hos.backend.announce(sending) })
+		loops.Go(func() { hos.backend.Announce(sending) })
 		for number := range clientsAHost {
-			cli := &client{name: fmt.Sprintf("%d-%s-%d", pla.Seed, hos.name, number), host: hos, fleet: fle}
+			cli := &client{name: fmt.Sprintf("%d-%s-%d", pla.Seed, hos.name, number), host: hos, fleet: fle, caller: standin.NewCaller(hos.callers)}
 			loops.Go(func() { cli.run(sending) })
 		}
 	}
