--- a/io/hostnode/configuration.go
+++ b/io/hostnode/configuration.go
@@ -16,9 +16,9 @@
 
 const (
 	askVersion = "AskVersion"
-	// versionInterval is how often another node is asked for its version: several times within the bound in which a
-	// version must be in force, as the store may turn this host away.
-	versionInterval = 400 * time.Millisecond
+	// versionAsks is the number of other nodes that are asked for their version within the bound in which one must be in
+	// force, as the store may turn this host away.
+	versionAsks = 5
 	// pushes is the number of nodes that hear at once of a version that came from the store.
 	pushes = 2
 	// followWait is how long the store holds back its answer while nothing changes.
@@ -71,7 +71,7 @@
 // tickVersions asks one other node for its version from time to time.
 func (nod *Node) tickVersions() {
 	if now := time.Now(); !now.Before(nod.versionsDue) {
-		nod.versionsDue = now.Add(versionInterval)
+		nod.versionsDue = now.Add(nod.bounds.Load().ConfigurationTime / versionAsks)
 		nod.askAny()
 	}
 }
--- a/io/hostnode/fleet_test.go
+++ b/io/hostnode/fleet_test.go
@@ -235,7 +235,7 @@
 		Name: name, Host: netip.MustParseAddr("127.0.0.1"), DataCentre: "a", Region: "r", Service: service,
 		Callers: freeAddress(t), Announcements: freeAddress(t), Ready: freeAddress(t), Peers: freeAddress(t), Metrics: freeAddress(t),
 		BackendServer: freeAddress(t), MemoryBytes: 1 << 30, LinkBytes: 1 << 30,
-		Bounds: hostsettings.Bounds{RepeatRatio: 0.2, RepeatSlack: 48, StopTime: stopTime},
+		Bounds: hostsettings.Bounds{RepeatRatio: 0.2, RepeatSlack: 48, StopTime: stopTime, ConfigurationTime: 2 * time.Second},
 	}
 }
 
--- a/io/hostnode/node.go
+++ b/io/hostnode/node.go
@@ -100,7 +100,7 @@
 	crashes *crashlink.Link
 	// hosts holds the address of each host and when it was last known to be alive.
 	hosts map[netip.AddrPort]time.Time
-	// versionsDue is when the next node is asked for its version, readyTold what was last logged.
+	// versionsDue is when the next node is asked for its version.
 	versionsDue time.Time
 }
 
--- a/io/hostnode/server.go
+++ b/io/hostnode/server.go
@@ -18,7 +18,7 @@
 	// slotsPart is the part of the backend server's slots that the gate fills: some servers slow down when nearly full,
 	// and a new connection holds a slot for a moment.
 	slotsPart = 0.94
-	// queueParts is the number of calls that may wait for each slot, as a divisor.
+	// queueLengthFactor is the number of calls that may wait for each slot.
 	queueLengthFactor = 2
 	// longestQueueWait bounds the wait of calls whose route sets no target latency.
 	longestQueueWait = time.Second
