--- a/cmd/flamingoreach-host/command/command.go
+++ b/cmd/flamingoreach-host/command/command.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
 	"flamingoreach/io/backendconn"
@@ -68,13 +69,16 @@
 	return 0
 }
 
+// exit ends the command with a code and the error's text, without the places in the code that it passed.
+func exit(err error, code int) error { return cli.Exit(eris.ToString(err, false), code) }
+
 func settingsFlag() cli.Flag {
 	return &cli.StringFlag{Name: "settings", Usage: "settings `FILE` of the platform", Value: platform.SettingsFile()}
 }
 
 func checkSettings(_ context.Context, cmd *cli.Command) error {
 	if _, err := platform.ReadSettings(cmd.String("settings")); err != nil {
-		return cli.Exit(err, exitWrongUsage)
+		return exit(err, exitWrongUsage)
 	}
 	_, err := fmt.Fprintln(cmd.Root().Writer, "the settings are valid")
 	return err
@@ -83,7 +87,7 @@
 func runNode(ctx context.Context, cmd *cli.Command) error {
 	set, err := platform.ReadSettings(cmd.String("settings"))
 	if err != nil {
-		return cli.Exit(err, exitWrongUsage)
+		return exit(err, exitWrongUsage)
 	}
 	debug.SetGCPercent(garbagePercent)
 	lines := boundedwriter.New(os.Stdout, waitingLines)
@@ -96,7 +100,7 @@
 		err = writeErr
 	}
 	if err != nil {
-		return cli.Exit(err, exitFailed)
+		return exit(err, exitFailed)
 	}
 	return nil
 }
