--- a/io/httplistener/listener.go
+++ b/io/httplistener/listener.go
@@ -114,7 +114,7 @@
 func (lis *Listener) Close(ctx context.Context) error {
 	lis.EndKeepAlive()
 	if lis.serving.Load() {
-		lis.bound.drain()
+		lis.bound.drain(ctx)
 		select {
 		case <-lis.served:
 		case <-ctx.Done():
--- a/io/httplistener/listener_test.go
+++ b/io/httplistener/listener_test.go
@@ -125,7 +125,7 @@
 		connect(t, bound.Addr().(*net.TCPAddr).AddrPort(), "sent")
 	}
 	drained := make(chan struct{})
-	go func() { soc.drain(); close(drained) }()
+	go func() { soc.drain(t.Context()); close(drained) }()
 	for range waiting {
 		con, err := acceptAfterClose(soc)
 		require.NoError(t, err)
--- a/io/httplistener/socket.go
+++ b/io/httplistener/socket.go
@@ -1,6 +1,7 @@
 package httplistener
 
 import (
+	"context"
 	"net"
 	"os"
 	"sync/atomic"
@@ -34,8 +35,9 @@
 	return nil, net.ErrClosed
 }
 
-// drain stops listening right after it has taken all connections of the backlog, and hands them to Accept.
-func (soc *socket) drain() {
+// drain stops listening right after it has taken all connections of the backlog, and hands them to Accept. Those for
+// which there is no place until the context ends are closed.
+func (soc *socket) drain(ctx context.Context) {
 	if soc.closing.Swap(true) {
 		return
 	}
@@ -48,8 +50,14 @@
 	}
 	_ = soc.Close()
 	for _, descriptor := range descriptors {
-		if con := connection(descriptor); con != nil {
-			soc.backlog <- con
+		con := connection(descriptor)
+		if con == nil {
+			continue
+		}
+		select {
+		case soc.backlog <- con:
+		case <-ctx.Done():
+			_ = con.Close()
 		}
 	}
 	close(soc.backlog)
