--- /dev/null
+++ b/io/decisionlog/log_test.go
@@ -0,0 +1,43 @@
+package decisionlog_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"flamingoreach/io/boundedwriter"
+	"flamingoreach/io/decisionlog"
+)
+
+func TestLinesAreBoundedAndTheNextOneTellsHowManyWereLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		dec := decisionlog.New(log.NewWithOptions(&out, log.Options{Formatter: log.JSONFormatter}), 5)
+		for range 1000 {
+			dec.Write("request ended", "requestId", "a")
+		}
+		require.Equal(t, 10, strings.Count(out.String(), "\n"), "two seconds' lines at once")
+		time.Sleep(time.Second)
+		out.Reset()
+		dec.Write("request ended")
+		require.Contains(t, out.String(), `"omitted":990`)
+	})
+}
+
+// BenchmarkWrite measures what one logged decision costs the request, and one that is left out.
+func BenchmarkWrite(b *testing.B) {
+	for name, rate := range map[string]float64{"written": 1e12, "left out": 0} {
+		b.Run(name, func(b *testing.B) {
+			dec := decisionlog.New(log.NewWithOptions(boundedwriter.New(&bytes.Buffer{}, 1), log.Options{Formatter: log.JSONFormatter, ReportTimestamp: true}), rate)
+			b.ReportAllocs()
+			for b.Loop() {
+				dec.Write("request ended", "requestId", "8af4c3ee7f0d67f9", "route", "r", "service", "s", "account", "a", "attempts", 1, "elapsed", time.Second, "version", 4, "outcome", "ran")
+			}
+		})
+	}
+}
