--- a/io/framing/framing.go
+++ b/io/framing/framing.go
@@ -11,6 +11,9 @@
 // headBytes bounds the part of a head that is looked at.
 const headBytes = 64 << 10
 
+// prefaceStart begins each connection of HTTP/2.
+const prefaceStart = "PRI * HTTP/2.0"
+
 type contextKey struct{}
 
 // Listener watches the heads of requests on the connections that it accepts.
@@ -29,9 +32,11 @@
 type watched struct {
 	net.Conn
 
-	// head collects the bytes of a head until it ends; done is set then.
+	// head collects the bytes of a head until it ends; done is set then. Only the goroutine that reads touches head.
 	head []byte
-	done bool
+	done atomic.Bool
+	// framed says that the connection speaks HTTP/2, whose frames have one length each.
+	framed atomic.Bool
 	// ambiguous is set for good: what follows on the connection cannot be told apart.
 	ambiguous atomic.Bool
 }
@@ -39,7 +44,7 @@
 // Read passes bytes on and looks at those of a head.
 func (wat *watched) Read(into []byte) (int, error) {
 	count, err := wat.Conn.Read(into)
-	if count > 0 && !wat.done {
+	if count > 0 && !wat.done.Load() {
 		wat.look(into[:count])
 	}
 	return count, err
@@ -51,10 +56,14 @@
 	if end < 0 && len(wat.head) < headBytes {
 		return
 	}
-	if end >= 0 && isAmbiguous(wat.head[:end]) {
+	switch {
+	case bytes.HasPrefix(wat.head, []byte(prefaceStart)):
+		wat.framed.Store(true)
+	case end >= 0 && isAmbiguous(wat.head[:end]):
 		wat.ambiguous.Store(true)
 	}
-	wat.done, wat.head = true, nil
+	wat.head = nil
+	wat.done.Store(true)
 }
 
 // isAmbiguous reports whether a head has both a length and a transfer coding, or two different lengths.
@@ -79,8 +88,8 @@
 
 // Changed looks for the next head once a connection is idle again; it is a server's ConnState.
 func Changed(con net.Conn, state http.ConnState) {
-	if wat, ok := con.(*watched); ok && state == http.StateIdle {
-		wat.done = false
+	if wat, ok := con.(*watched); ok && state == http.StateIdle && !wat.framed.Load() {
+		wat.done.Store(false)
 	}
 }
 
--- a/io/framing/framing_test.go
+++ b/io/framing/framing_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -13,6 +15,43 @@
 	"flamingoreach/io/httplistener"
 )
 
+func TestCallsAtATimeOnOneHTTP2ConnectionAreLeftAlone(t *testing.T) {
+	lis, err := httplistener.Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"),
+		http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) { _, _ = io.Copy(wri, req.Body) }),
+		httplistener.Bounds{Connections: 4, HeaderBytes: 4096, HeaderTime: time.Second, IdleTime: time.Second})
+	require.NoError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- lis.Serve() }()
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{Protocols: protocols}
+	var calls sync.WaitGroup
+	for range 8 {
+		calls.Go(func() {
+			for range 50 {
+				req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+lis.Address().String(), strings.NewReader("body"))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				res, err := transport.RoundTrip(req)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				_ = res.Body.Close()
+				if res.StatusCode != http.StatusOK {
+					t.Error(res.Status)
+				}
+			}
+		})
+	}
+	calls.Wait()
+	transport.CloseIdleConnections()
+	require.NoError(t, lis.Close(t.Context()))
+	require.NoError(t, <-served)
+}
+
 func TestARequestWithTwoLengthsIsRefusedAndItsConnectionEnds(t *testing.T) {
 	for name, text := range map[string]string{
 		"both":       "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n",
