Choose by room in one loop, and share the loops' actor and the wait between both nodes

Found in reading the whole change again: two loops over the candidates, two copies of addActor and wait, an accessor that nothing called.

--- a/core/configurationfeed/feed.go
+++ b/core/configurationfeed/feed.go
@@ -55,9 +55,6 @@
 // New returns a feed that knows no version.
 func New() *Feed { return &Feed{state: chart.Initial(), Random: rand.Float64} }
 
-// State returns the state of the chart configurationFeed.
-func (fee *Feed) State() string { return fee.state }
-
 // Version returns the number of the version in force, or 0.
 func (fee *Feed) Version() uint64 {
 	if fee.current == nil {
--- a/core/pick/room.go
+++ b/core/pick/room.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"slices"
 	"time"
 
 	"flamingoreach/core/call"
@@ -42,21 +43,26 @@
 // in each data centre, where those near are often not enough. It returns false where no member is left.
 func (pic *Picker) ChooseByRoom(cal call.Call, candidates []member.Member, tried []string) (member.Member, bool) {
 	known := pic.leastLatency(cal.Route, candidates)
+	best, found := pic.cheapest(cal.Route, candidates, tried, known, locality.OtherRegion)
+	if found && pic.distance(best) == locality.OtherRegion && !pic.MaySpill() {
+		return pic.cheapest(cal.Route, candidates, tried, known, locality.SameRegion)
+	}
+	return best, found
+}
+
+// cheapest returns the untried member of least cost up to a distance; of equal ones a random one.
+func (pic *Picker) cheapest(route string, candidates []member.Member, tried []string, known time.Duration, farthest int) (member.Member, bool) {
 	best, lowest, found := member.Member{}, time.Duration(0), false
 	offset := pic.Random(max(len(candidates), 1))
 	for index := range candidates {
 		mem := candidates[(index+offset)%len(candidates)]
-		if pic.isTried(mem, tried) {
+		if pic.distance(mem) > farthest || slices.Contains(tried, mem.ID) {
 			continue
 		}
-		cost := pic.cost(cal.Route, mem, known)
-		if !found || cost < lowest {
+		if cost := pic.cost(route, mem, known); !found || cost < lowest {
 			best, lowest, found = mem, cost, true
 		}
 	}
-	if found && pic.distance(best) == locality.OtherRegion && !pic.MaySpill() {
-		return pic.chooseNear(cal, candidates, tried, known)
-	}
 	return best, found
 }
 
@@ -69,36 +75,13 @@
 			continue
 		}
 		near = true
-		if !pic.isTried(other, tried) {
+		if !slices.Contains(tried, other.ID) {
 			return true
 		}
 	}
 	return near && pic.distance(mem) == locality.OtherRegion
 }
 
-// chooseNear is used while the link between regions has no room.
-func (pic *Picker) chooseNear(cal call.Call, candidates []member.Member, tried []string, known time.Duration) (member.Member, bool) {
-	best, lowest, found := member.Member{}, time.Duration(0), false
-	for _, mem := range candidates {
-		if pic.distance(mem) == locality.OtherRegion || pic.isTried(mem, tried) {
-			continue
-		}
-		if cost := pic.cost(cal.Route, mem, known); !found || cost < lowest {
-			best, lowest, found = mem, cost, true
-		}
-	}
-	return best, found
-}
-
-func (pic *Picker) isTried(mem member.Member, tried []string) bool {
-	for _, id := range tried {
-		if id == mem.ID {
-			return true
-		}
-	}
-	return false
-}
-
 // leastLatency is the lowest latency of a route at any member; one of which none is known is expected to be as fast.
 func (pic *Picker) leastLatency(route string, candidates []member.Member) time.Duration {
 	least := time.Duration(0)
--- a/io/hostnode/calls.go
+++ b/io/hostnode/calls.go
@@ -144,7 +144,6 @@
 		ref.Elsewhere = true
 		return answer.Answer{CallID: cal.ID, AllowanceLeft: cal.Allowance, Refusal: ref}, message.Message{}
 	}
-	var reply message.Message
 	ans, payload := nod.gate.Run(ctx, cal, func(ctx context.Context) (answer.Answer, any) {
 		ann := nod.backend.Load()
 		if ann == nil {
@@ -160,9 +159,7 @@
 		nod.gateRefused(cal, ans)
 	}
 	nod.crashes.AwaitSpread(ctx, ans.Refusal)
-	if got, ok := payload.(message.Message); ok {
-		reply = got
-	}
+	reply, _ := payload.(message.Message)
 	return ans, reply
 }
 
--- a/io/hostnode/run.go
+++ b/io/hostnode/run.go
@@ -50,11 +50,11 @@
 	nod.log.Info("node starts", "id", nod.id, "host", nod.settings.Name, "dataCentre", nod.settings.DataCentre,
 		"service", nod.settings.Service, "callers", nod.settings.Callers, "peers", nod.settings.Peers)
 	var group run.Group
-	nod.addActor(&group, nod.control.Run)
+	work.AddActor(&group, nod.control.Run)
 	for _, lis := range nod.listeners.all {
 		group.Add(lis.Serve, func(error) { nod.closeListener(lis) })
 	}
-	nod.addActor(&group, nod.tasks.Run)
+	work.AddActor(&group, nod.tasks.Run)
 	stop, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group.Add(func() error { <-stop.Done(); return nod.drain() }, func(error) { cancel() })
@@ -65,12 +65,6 @@
 	return err
 }
 
-// addActor runs a loop until the group is interrupted; the context of Run is not used, so that loops serve the drain.
-func (nod *Node) addActor(group *run.Group, loop func(ctx context.Context) error) {
-	ctx, cancel := context.WithCancel(context.Background())
-	group.Add(func() error { return loop(ctx) }, func(error) { cancel() })
-}
-
 func (nod *Node) listen(ctx context.Context, han Handlers) error {
 	bounds := httplistener.Bounds{HeaderBytes: headerBytes, HeaderTime: headerTime, IdleTime: idleTime, Connections: maxConnections}
 	for _, bind := range []struct {
@@ -110,7 +104,7 @@
 	if err := nod.control.Do(ctx, "node.leave", nod.announceDrain); err != nil {
 		return eris.Wrap(err, "announce leaving")
 	}
-	wait(ctx, leaveNotice)
+	work.Wait(ctx, leaveNotice)
 	if err := nod.gate.Drain(ctx); err != nil {
 		nod.log.Warn("calls still run", "running", nod.gate.Stats().Running, "after", time.Since(began))
 	}
@@ -135,14 +129,7 @@
 		if err != nil || settled {
 			return
 		}
-		wait(ctx, settleInterval)
-	}
-}
-
-func wait(ctx context.Context, span time.Duration) {
-	select {
-	case <-time.After(span):
-	case <-ctx.Done():
+		work.Wait(ctx, settleInterval)
 	}
 }
 
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -51,14 +51,14 @@
 		"backendServer", nod.listeners.backendServer.Address(), "peers", nod.listeners.peers.Address(),
 		"operators", nod.listeners.operators.Address())
 	var group run.Group
-	nod.addActor(&group, nod.control.Run)
+	work.AddActor(&group, nod.control.Run)
 	for _, lis := range nod.listeners.all() {
 		group.Add(lis.Serve, func(error) { nod.closeListener(lis) })
 	}
 	if nod.credentials != nil {
-		nod.addActor(&group, nod.credentials.Follow)
+		work.AddActor(&group, nod.credentials.Follow)
 	}
-	nod.addActor(&group, nod.tasks.Run)
+	work.AddActor(&group, nod.tasks.Run)
 	stop, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group.Add(func() error { <-stop.Done(); return nod.drain() }, func(error) { cancel() })
@@ -67,12 +67,6 @@
 	return err
 }
 
-// addActor runs a loop until the group is interrupted; the context of Run is not used, so that loops serve the drain.
-func (nod *Node) addActor(group *run.Group, loop func(ctx context.Context) error) {
-	ctx, cancel := context.WithCancel(context.Background())
-	group.Add(func() error { return loop(ctx) }, func(error) { cancel() })
-}
-
 func (nod *Node) listen(ctx context.Context) error {
 	lim := nod.settings.Limits
 	bounds := httplistener.Bounds{
@@ -141,7 +135,7 @@
 		return eris.Wrap(err, "announce leaving")
 	}
 	nod.listeners.callers.EndKeepAlive()
-	wait(ctx, leaveNotice)
+	work.Wait(ctx, leaveNotice)
 	if err := nod.gate.Drain(ctx); err != nil {
 		return eris.Wrap(err, "wait for running calls")
 	}
@@ -182,18 +176,11 @@
 		if err != nil || left {
 			break
 		}
-		wait(ctx, settleInterval)
+		work.Wait(ctx, settleInterval)
 	}
 	return nil
 }
 
-func wait(ctx context.Context, span time.Duration) {
-	select {
-	case <-time.After(span):
-	case <-ctx.Done():
-	}
-}
-
 func (nod *Node) closeListener(lis *httplistener.Listener) {
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
