Give each host of the tests a loopback address and ports of its own

The tests chose a free port by binding port 0 of 127.0.0.1 and closing it again, and bound it later; in between, or while a node of the process tests was down for its restart, any outgoing connection of another test could get the port. Ruled out: a process left over by another test; the ports came from the range of outgoing connections. After: hosts of tests have addresses of their own and ports below that range.

--- a/io/hostnode/fleet_test.go
+++ b/io/hostnode/fleet_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -30,6 +29,7 @@
 	"flamingoreach/io/hostnode"
 	"flamingoreach/io/hostsettings"
 	"flamingoreach/io/message"
+	"flamingoreach/proofs/loopback"
 )
 
 const (
@@ -160,7 +160,7 @@
 	t.Helper()
 	var hosts []*host
 	for index, service := range services {
-		hos := &host{settings: testSettings(t, fmt.Sprintf("h%d", index), service), end: make(chan error, 1)}
+		hos := &host{settings: testSettings(fmt.Sprintf("h%d", index), service), end: make(chan error, 1)}
 		hos.start(t, sto)
 		hosts = append(hosts, hos)
 	}
@@ -229,24 +229,17 @@
 	return res.StatusCode, res.Body.Close()
 }
 
-func testSettings(t *testing.T, name, service string) hostsettings.Settings {
-	t.Helper()
+func testSettings(name, service string) hostsettings.Settings {
+	address := loopback.NewHost()
+	at := func(number uint16) netip.AddrPort { return netip.AddrPortFrom(address, loopback.FirstPort+number) }
 	return hostsettings.Settings{
-		Name: name, Host: netip.MustParseAddr("127.0.0.1"), DataCentre: "a", Region: "r", Service: service,
-		Callers: freeAddress(t), Announcements: freeAddress(t), Ready: freeAddress(t), Peers: freeAddress(t), Metrics: freeAddress(t),
-		BackendServer: freeAddress(t), MemoryBytes: 1 << 30, LinkBytes: 1 << 30,
+		Name: name, Host: address, DataCentre: "a", Region: "r", Service: service,
+		Callers: at(0), Announcements: at(1), Ready: at(2), Peers: at(3), Metrics: at(4),
+		BackendServer: at(5), MemoryBytes: 1 << 30, LinkBytes: 1 << 30,
 		Bounds: hostsettings.Bounds{RepeatRatio: 0.2, RepeatSlack: 48, StopTime: stopTime, ConfigurationTime: 2 * time.Second},
 	}
 }
 
-func freeAddress(t *testing.T) netip.AddrPort {
-	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { require.NoError(t, listener.Close()) }()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
-}
-
 func requireJSON(t *testing.T, text string, into any) {
 	t.Helper()
 	require.NoError(t, json.Unmarshal([]byte(text), into), text)
--- a/io/hostnode/node_test.go
+++ b/io/hostnode/node_test.go
@@ -193,7 +193,7 @@
 
 func TestTheLogLeadsFromTheRequestsIDToTheReason(t *testing.T) {
 	var out bytes.Buffer
-	set := testSettings(t, "h0", "quotes")
+	set := testSettings("h0", "quotes")
 	hos := &host{settings: set}
 	nod := hostnode.New(set, hos.platform(newStore(testConfiguration(1))), log.NewWithOptions(&out, log.Options{Formatter: log.JSONFormatter}))
 	ans, _ := nod.Serve(t.Context(), request.Request{Host: "a.example", Path: "/quotes/1", ID: "attempt-9"}, message.Message{})
--- /dev/null
+++ b/proofs/loopback/doc.go
@@ -0,0 +1,2 @@
+// Package loopback hands out loopback addresses to tests that run hosts on one machine.
+package loopback
--- a/proofs/processfleet/fleet.go
+++ b/proofs/processfleet/fleet.go
@@ -19,6 +19,7 @@
 	"flamingoreach/io/echo"
 	"flamingoreach/io/nodeaddresses"
 	"flamingoreach/io/standinplatform/faults"
+	"flamingoreach/proofs/loopback"
 	"flamingoreach/proofs/process"
 )
 
@@ -47,10 +48,13 @@
 	Service    string
 	Node       *process.Process
 	Backend    *process.Process
-	// Addresses are those of the node's first start, which later starts keep.
+	// Addresses are the same at each start.
 	Addresses nodeaddresses.Addresses
 	// Traces lists the files of the node's starts.
 	Traces []string
+
+	// host is the loopback address of its own on which the node listens.
+	host netip.Addr
 }
 
 type platformAddresses struct {
@@ -99,6 +103,9 @@
 
 func (fle *Fleet) startNode(ctx context.Context, sit *Site, seeds []string) error {
 	fle.starts++
+	if !sit.host.IsValid() {
+		sit.host = loopback.NewHost()
+	}
 	file := fle.file(sit, "node")
 	settings := file + ".toml"
 	if err := os.WriteFile(settings, []byte(fle.settings(sit, seeds)), 0o600); err != nil {
@@ -206,12 +213,7 @@
 }
 
 func (fle *Fleet) settings(sit *Site, seeds []string) string {
-	address := func(known netip.AddrPort) string {
-		if known.IsValid() {
-			return known.String()
-		}
-		return "127.0.0.1:0"
-	}
+	address := func(number uint16) string { return netip.AddrPortFrom(sit.host, loopback.FirstPort+number).String() }
 	var dataCentres strings.Builder
 	written := map[string]bool{}
 	for _, other := range append([]*Site{sit}, fle.Sites...) {
@@ -221,7 +223,7 @@
 		}
 	}
 	return fmt.Sprintf(`[node]
-host = "127.0.0.1"
+host = %q
 region = %q
 dataCentre = %q
 service = %q
@@ -240,7 +242,7 @@
 [fleet]
 storeRegion = %q
 [fleet.dataCentres]
-%s`, sit.Region, sit.DataCentre, sit.Service,
-		address(sit.Addresses.Callers), address(sit.Addresses.BackendServer), address(sit.Addresses.Peers), address(sit.Addresses.Operators),
+%s`, sit.host, sit.Region, sit.DataCentre, sit.Service,
+		address(0), address(1), address(2), address(3),
 		fle.platform.Table, fle.platform.Object, strings.Join(seeds, ", "), fle.Sites[0].Region, dataCentres.String())
 }
