Write requests to the backend server through the connection's buffer and read answers in one of their size

Cause: of 62,878 bytes that a call across two hosts allocated, 34% were io.ReadAll growing its buffer for the answer and the 4 KiB buffer that the library makes for each request. Ruled out: control work; nodes without calls use 7 to 11 ms of processor time a second (4 to 64 hosts).

--- a/io/backendconn/connection.go
+++ b/io/backendconn/connection.go
@@ -38,12 +38,13 @@
 	net.Conn
 
 	reader *bufio.Reader
+	writer *bufio.Writer
 	// idleUntil is when it must not be used any more.
 	idleUntil time.Time
 }
 
 func newConnection(con net.Conn) *connection {
-	return &connection{Conn: con, reader: bufio.NewReaderSize(con, bufferBytes)}
+	return &connection{Conn: con, reader: bufio.NewReaderSize(con, bufferBytes), writer: bufio.NewWriterSize(con, bufferBytes)}
 }
 
 // sound reports whether an idle connection has neither ended nor received bytes, which would belong to no request.
@@ -96,13 +97,21 @@
 		req.Body = http.NoBody
 	}
 	if len(body) <= wholeBytes {
-		return nil, req.Write(con.Conn)
+		return nil, con.write(req)
 	}
 	written := make(chan error, 1)
-	go func() { written <- req.Write(con.Conn) }()
+	go func() { written <- con.write(req) }()
 	return written, nil
 }
 
+// write sends a request through the connection's buffer, which the library would make anew for each.
+func (con *connection) write(req *http.Request) error {
+	if err := req.Write(con.writer); err != nil {
+		return err
+	}
+	return con.writer.Flush()
+}
+
 // receive reads answers until it finds the one that belongs to the request.
 func (con *connection) receive(req *http.Request, rul Rules) (Response, bool, error) {
 	for range maxStrays {
@@ -113,7 +122,7 @@
 		if htr.StatusCode < http.StatusOK {
 			continue
 		}
-		body, err := io.ReadAll(io.LimitReader(htr.Body, rul.BodyBytes+1))
+		body, err := readBody(htr, rul.BodyBytes)
 		_ = htr.Body.Close()
 		switch {
 		case err != nil:
@@ -132,6 +141,16 @@
 	return Response{}, false, &Failure{Stage: Waiting, Cause: errStrays}
 }
 
+// readBody reads a body, or one byte more than its bound, in a buffer of its size where that is known.
+func readBody(res *http.Response, bound int64) ([]byte, error) {
+	if res.ContentLength < 0 || res.ContentLength > bound {
+		return io.ReadAll(io.LimitReader(res.Body, bound+1))
+	}
+	body := make([]byte, res.ContentLength)
+	_, err := io.ReadFull(res.Body, body)
+	return body, err
+}
+
 // idleFor returns how long a connection may be idle after an answer.
 func idleFor(header http.Header) time.Duration {
 	for part := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
