Look at each member once in the choice by room

Cause: a choice among 24 members took 16.6 us: five locks and five readings of the clock for each member, and one more for the least latency. Behaviour is meant to be the same.

--- a/core/pick/observation.go
+++ b/core/pick/observation.go
@@ -94,21 +94,26 @@
 
 // countFailing counts one call into the moving average, a failed one as 1.
 func (obs *observation) countFailing(failed float64) {
-	obs.failing = obs.failingNow()
-	obs.failingAt = time.Now()
+	now := time.Now()
+	obs.failing = obs.failingAtTime(now)
+	obs.failingAt = now
 	obs.failing += (failed - obs.failing) * failingWeight
 }
 
-// failingNow returns the average, which falls with time, so that a member is tried again.
-func (obs *observation) failingNow() float64 {
-	return obs.failing * math.Exp2(-float64(time.Since(obs.failingAt))/float64(failingHalfLife))
+// failingAtTime returns the average, which falls with time, so that a member is tried again.
+func (obs *observation) failingAtTime(now time.Time) float64 {
+	return obs.failing * math.Exp2(-float64(now.Sub(obs.failingAt))/float64(failingHalfLife))
 }
 
-// isEjected ends an ejection whose time is over.
 func (obs *observation) isEjected() bool {
 	obs.mux.Lock()
 	defer obs.mux.Unlock()
-	if obs.state == "ejected" && !time.Now().Before(obs.ejectedUntil) {
+	return obs.ejectedAtTime(time.Now())
+}
+
+// ejectedAtTime ends an ejection whose time is over.
+func (obs *observation) ejectedAtTime(now time.Time) bool {
+	if obs.state == "ejected" && !now.Before(obs.ejectedUntil) {
 		obs.state = ejection.Fire(obs, obs.state, "waited")
 	}
 	return obs.state == "ejected"
--- a/core/pick/room.go
+++ b/core/pick/room.go
@@ -42,25 +42,29 @@
 // load that the members' gates told last; places further away count as slower. It suits services with few members
 // in each data centre, where those near are often not enough. It returns false where no member is left.
 func (pic *Picker) ChooseByRoom(cal call.Call, candidates []member.Member, tried []string) (member.Member, bool) {
-	known := pic.leastLatency(cal.Route, candidates)
-	best, found := pic.cheapest(cal.Route, candidates, tried, known, locality.OtherRegion)
-	if found && pic.distance(best) == locality.OtherRegion && !pic.MaySpill() {
-		return pic.cheapest(cal.Route, candidates, tried, known, locality.SameRegion)
+	prospects := pic.prospects(cal.Route, candidates)
+	best, found := pic.cheapest(prospects, tried, locality.OtherRegion)
+	if found && best.distance == locality.OtherRegion && !pic.MaySpill() {
+		best, found = pic.cheapest(prospects, tried, locality.SameRegion)
 	}
-	return best, found
+	if !found {
+		return member.Member{}, false
+	}
+	return *best.member, true
 }
 
 // cheapest returns the untried member of least cost up to a distance; of equal ones a random one.
-func (pic *Picker) cheapest(route string, candidates []member.Member, tried []string, known time.Duration, farthest int) (member.Member, bool) {
-	best, lowest, found := member.Member{}, time.Duration(0), false
-	offset := pic.Random(max(len(candidates), 1))
-	for index := range candidates {
-		mem := candidates[(index+offset)%len(candidates)]
-		if pic.distance(mem) > farthest || slices.Contains(tried, mem.ID) {
+func (pic *Picker) cheapest(prospects []prospect, tried []string, farthest int) (prospect, bool) {
+	best, lowest, found := prospect{}, time.Duration(0), false
+	known := leastLatency(prospects)
+	offset := pic.Random(max(len(prospects), 1))
+	for index := range prospects {
+		pro := &prospects[(index+offset)%len(prospects)]
+		if pro.distance > farthest || slices.Contains(tried, pro.member.ID) {
 			continue
 		}
-		if cost := pic.cost(route, mem, known); !found || cost < lowest {
-			best, lowest, found = mem, cost, true
+		if cost := pro.cost(known); !found || cost < lowest {
+			best, lowest, found = *pro, cost, true
 		}
 	}
 	return best, found
@@ -83,11 +87,11 @@
 }
 
 // leastLatency is the lowest latency of a route at any member; one of which none is known is expected to be as fast.
-func (pic *Picker) leastLatency(route string, candidates []member.Member) time.Duration {
+func leastLatency(prospects []prospect) time.Duration {
 	least := time.Duration(0)
-	for _, mem := range candidates {
-		if latency := pic.observe(mem.ID).routeLatency(route); latency > 0 && (least == 0 || latency < least) {
-			least = latency
+	for _, pro := range prospects {
+		if pro.latency > 0 && (least == 0 || pro.latency < least) {
+			least = pro.latency
 		}
 	}
 	if least == 0 {
@@ -96,24 +100,61 @@
 	return least
 }
 
-// cost is the time in which a call of a route is expected to end at a member. Members that are ejected or take no
-// calls come last, but are still better than none.
-func (pic *Picker) cost(route string, mem member.Member, known time.Duration) time.Duration {
-	obs := pic.observe(mem.ID)
-	latency := obs.routeLatency(route)
+// prospect is what is expected of a route's call at one member.
+type prospect struct {
+	member   *member.Member
+	distance int
+	// latency is the route's, or 0 if none was seen of late.
+	latency time.Duration
+	load    float64
+	// failing is the part of the member's calls that failed of late.
+	failing float64
+	// last says that the member is ejected or takes no calls, which is still better than none.
+	last bool
+}
+
+// prospects returns what is known of all members at one moment.
+func (pic *Picker) prospects(route string, candidates []member.Member) []prospect {
+	now := time.Now()
+	prospects := make([]prospect, 0, len(candidates))
+	for index := range candidates {
+		mem := &candidates[index]
+		pro := pic.observe(mem.ID).prospect(route, now)
+		pro.member, pro.distance = mem, pic.distance(*mem)
+		prospects = append(prospects, pro)
+	}
+	return prospects
+}
+
+// cost is the time in which the call is expected to end; known stands for a latency that was not seen.
+func (pro *prospect) cost(known time.Duration) time.Duration {
+	latency := pro.latency
 	if latency == 0 {
 		latency = known
 	}
-	over := max(obs.freshLoad()-roomyLoad, 0) * loadWeight
-	dis := distanceCosts[pic.distance(mem)]
-	failing := obs.failingPart() * failureWeight
-	cost := time.Duration(float64(latency)*dis.factor*(1+over)*(1+failing)) + dis.roundTrip
-	if obs.isEjected() || obs.isAway() {
+	over := max(pro.load-roomyLoad, 0) * loadWeight
+	dis := distanceCosts[pro.distance]
+	cost := time.Duration(float64(latency)*dis.factor*(1+over)*(1+pro.failing*failureWeight)) + dis.roundTrip
+	if pro.last {
 		cost += time.Hour
 	}
 	return cost
 }
 
+// prospect returns what was seen of a member, under one lock.
+func (obs *observation) prospect(route string, now time.Time) prospect {
+	obs.mux.Lock()
+	defer obs.mux.Unlock()
+	pro := prospect{failing: obs.failingAtTime(now), last: obs.ejectedAtTime(now) || now.Before(obs.awayUntil)}
+	if known, found := obs.routes[route]; found && now.Sub(known.at) <= latencyLifetime {
+		pro.latency = known.latency
+	}
+	if now.Sub(obs.reported) <= reportLifetime {
+		pro.load = obs.load
+	}
+	return pro
+}
+
 // AnsweredRoute records the latency of a route's call that a member answered.
 func (pic *Picker) AnsweredRoute(id, route string, elapsed time.Duration) {
 	obs := pic.observe(id)
@@ -131,28 +172,3 @@
 	known.at = now
 	obs.routes[route] = known
 }
-
-// routeLatency returns a route's latency, or 0 if none was seen of late.
-func (obs *observation) routeLatency(route string) time.Duration {
-	obs.mux.Lock()
-	defer obs.mux.Unlock()
-	known, found := obs.routes[route]
-	if !found || time.Since(known.at) > latencyLifetime {
-		return 0
-	}
-	return known.latency
-}
-
-// failingPart returns the part of the member's calls that failed of late.
-func (obs *observation) failingPart() float64 {
-	obs.mux.Lock()
-	defer obs.mux.Unlock()
-	return obs.failingNow()
-}
-
-// isAway reports whether the member said of late that it takes no calls.
-func (obs *observation) isAway() bool {
-	obs.mux.Lock()
-	defer obs.mux.Unlock()
-	return time.Now().Before(obs.awayUntil)
-}
--- a/core/pick/room_test.go
+++ b/core/pick/room_test.go
@@ -1,6 +1,7 @@
 package pick_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -114,3 +115,16 @@
 	require.True(t, pic.AtOnce(members[2], members, []string{"near", "beside", "far"}))
 	require.False(t, pic.AtOnce(members[2], members[2:], []string{"far"}), "none is near")
 }
+
+func BenchmarkChooseByRoom(b *testing.B) {
+	pic := newPicker()
+	var members []member.Member
+	for number := range 24 {
+		members = append(members, member.Member{ID: fmt.Sprint(number), Region: "r", DataCentre: fmt.Sprint("d", number%4)})
+		answered(pic, members[number].ID, 100*time.Millisecond, 0.5)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		pic.ChooseByRoom(call.Call{Route: routeName}, members, nil)
+	}
+}
