Make calls between nodes on their callers' goroutines

Ruled out: control messages (under 2% of the processor time); state of members and accounts (0.3 MB a host of 64). io/backendconn becomes io/http1 and serves both peers; bodies in chunks grow in a buffer that is used again. A test for both clients found that over HTTP/2 the proof that nothing was sent could get lost; mended.

--- a/cmd/flamingoreach-host/command/command.go
+++ b/cmd/flamingoreach-host/command/command.go
@@ -14,11 +14,11 @@
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
-	"flamingoreach/io/backendconn"
 	"flamingoreach/io/boundedwriter"
 	"flamingoreach/io/hostnode"
 	"flamingoreach/io/hostsettings"
 	"flamingoreach/io/hostsettings/watch"
+	"flamingoreach/io/http1"
 	"flamingoreach/platform"
 )
 
@@ -35,6 +35,8 @@
 	bodyBytes = 64 << 20
 	// bodyTime bounds the reading of a body where the request gives no time.
 	bodyTime = 30 * time.Second
+	// backendDialTimeout is ample for a process on the same host that lives.
+	backendDialTimeout = 500 * time.Millisecond
 	// garbagePercent is the growth of the heap between collections: memory at its peak is dearer on the platform than
 	// processor time.
 	garbagePercent = 30
@@ -109,7 +111,7 @@
 func serve(ctx context.Context, file string, set hostsettings.Settings, logger *log.Logger) error {
 	store := platform.NewStore(set.Store)
 	defer store.Close()
-	pool := backendconn.NewPool()
+	pool := http1.NewPool(backendDialTimeout)
 	backend := &platform.BackendServer{Pool: pool, BodyBytes: bodyBytes}
 	nod := hostnode.New(set, hostnode.Platform{
 		ReadConfiguration: store.ReadConfiguration, FollowConfiguration: store.FollowConfiguration,
--- a/io/hostnode/server.go
+++ b/io/hostnode/server.go
@@ -28,7 +28,7 @@
 	keptForDeeper = 0.5
 	// keptAnswerBytes bounds the answers kept for repeated deliveries: the ID of each call is what matters.
 	keptAnswerBytes = 256 << 10
-	// sweepInterval is how often idle connections to the backend server are looked through.
+	// sweepInterval is how often idle connections are looked through.
 	sweepInterval = time.Second
 )
 
@@ -73,6 +73,7 @@
 		if time.Since(swept) >= sweepInterval {
 			swept = time.Now()
 			nod.platform.Sweep()
+			nod.peerClient.Sweep()
 		}
 	})
 }
--- a/io/backendconn/connection.go
+++ b/io/http1/connection.go
@@ -1,11 +1,9 @@
-package backendconn
+package http1
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -33,7 +31,7 @@
 	errStrays        = errors.New("too many answers belong to other requests")
 )
 
-// connection is one TCP connection to the backend server.
+// connection is one TCP connection.
 type connection struct {
 	net.Conn
 
@@ -71,10 +69,10 @@
 }
 
 // exchange sends a request and reads its answer; the connection must not be used again unless reusable is true.
-func (con *connection) exchange(ctx context.Context, req *http.Request, body []byte, rul Rules) (res Response, reusable bool, err error) {
+func (con *connection) exchange(ctx context.Context, req *http.Request, rul Rules) (res Response, reusable bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = con.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	written, err := con.send(req, body)
+	written, err := con.send(req)
 	if err != nil && written == nil {
 		return Response{}, false, &Failure{Stage: Waiting, Cause: err}
 	}
@@ -90,13 +88,8 @@
 
 // send writes a short request at once, and a long one beside the reading of its answer, which may come early; the
 // channel then yields the end of the writing.
-func (con *connection) send(req *http.Request, body []byte) (<-chan error, error) {
-	req.Body = io.NopCloser(bytes.NewReader(body))
-	req.ContentLength = int64(len(body))
-	if len(body) == 0 {
-		req.Body = http.NoBody
-	}
-	if len(body) <= wholeBytes {
+func (con *connection) send(req *http.Request) (<-chan error, error) {
+	if req.ContentLength <= wholeBytes {
 		return nil, con.write(req)
 	}
 	written := make(chan error, 1)
@@ -129,7 +122,7 @@
 			return Response{}, false, &Failure{Stage: Reading, Cause: err}
 		case int64(len(body)) > rul.BodyBytes:
 			return Response{}, false, &Failure{Stage: Reading, Cause: errAnswerTooLong}
-		case !rul.Belongs(htr):
+		case rul.Belongs != nil && !rul.Belongs(htr):
 			if htr.Close {
 				return Response{}, false, &Failure{Stage: Waiting, Cause: errStrays}
 			}
@@ -141,16 +134,6 @@
 	return Response{}, false, &Failure{Stage: Waiting, Cause: errStrays}
 }
 
-// readBody reads a body, or one byte more than its bound, in a buffer of its size where that is known.
-func readBody(res *http.Response, bound int64) ([]byte, error) {
-	if res.ContentLength < 0 || res.ContentLength > bound {
-		return io.ReadAll(io.LimitReader(res.Body, bound+1))
-	}
-	body := make([]byte, res.ContentLength)
-	_, err := io.ReadFull(res.Body, body)
-	return body, err
-}
-
 // idleFor returns how long a connection may be idle after an answer.
 func idleFor(header http.Header) time.Duration {
 	for part := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
--- a/io/backendconn/failure.go
+++ b/io/http1/failure.go
@@ -1,4 +1,4 @@
-package backendconn
+package http1
 
 import "fmt"
 
@@ -18,14 +18,14 @@
 // Failure is the error of an exchange without a whole answer.
 type Failure struct {
 	Stage Stage
-	// Refused says that the backend server's process does not listen.
+	// Refused says that no process listens at the address.
 	Refused bool
 	Cause   error
 }
 
 // Error names the stage and the cause.
 func (fai *Failure) Error() string {
-	return fmt.Sprintf("%s backend server: %v", [...]string{"connect to", "wait for", "read answer of"}[fai.Stage], fai.Cause)
+	return fmt.Sprintf("%s: %v", [...]string{"connect", "wait for answer", "read answer"}[fai.Stage], fai.Cause)
 }
 
 // Unwrap returns the cause.
--- a/io/backendconn/pool.go
+++ b/io/http1/pool.go
@@ -1,4 +1,4 @@
-package backendconn
+package http1
 
 import (
 	"context"
@@ -13,14 +13,11 @@
 	"flamingoreach/io/tcpoptions"
 )
 
-// dialTimeout is ample for a process on the same host that lives.
-const dialTimeout = 500 * time.Millisecond
-
 // Rules tell which answers belong to a request.
 type Rules struct {
 	// BodyBytes bounds an answer's body.
 	BodyBytes int64
-	// Belongs reports whether an answer is that of the request; others are skipped.
+	// Belongs, if set, reports whether an answer is that of the request; others are skipped.
 	Belongs func(res *http.Response) bool
 }
 
@@ -33,8 +30,10 @@
 
 // Pool keeps idle connections to one address at a time; it is safe for concurrent use.
 type Pool struct {
-	// Dial connects to the backend server.
+	// Dial connects to an address.
 	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	// MaxIdle, if set, bounds the idle connections.
+	MaxIdle int
 
 	mut     sync.Mutex
 	address netip.AddrPort
@@ -42,28 +41,29 @@
 	idle []*connection
 }
 
-// NewPool returns a pool without connections.
-func NewPool() *Pool {
+// NewPool returns a pool without connections, with a bound on the time to connect.
+func NewPool(dialTimeout time.Duration) *Pool {
 	dialer := tcpoptions.Dialer(dialTimeout)
 	return &Pool{Dial: func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 		return dialer.DialContext(ctx, "tcp", address.String())
 	}}
 }
 
-// Exchange sends a request and returns the whole answer, or a *Failure. It sends at most once.
-func (poo *Pool) Exchange(ctx context.Context, address netip.AddrPort, req *http.Request, body []byte, rul Rules) (Response, error) {
+// Exchange sends a request, whose body has the length that it gives, and returns the whole answer, or a *Failure. It
+// sends at most once.
+func (poo *Pool) Exchange(ctx context.Context, address netip.AddrPort, req *http.Request, rul Rules) (Response, error) {
 	con, err := poo.get(ctx, address)
 	if err != nil {
 		return Response{}, &Failure{Stage: Connecting, Refused: errors.Is(err, syscall.ECONNREFUSED), Cause: err}
 	}
-	res, reusable, err := con.exchange(ctx, req, body, rul)
+	res, reusable, err := con.exchange(ctx, req, rul)
 	if !reusable || !poo.put(address, con) {
 		_ = con.Close()
 	}
 	return res, err
 }
 
-// Drop closes the idle connections, because the backend server behind them has ended.
+// Drop closes the idle connections, because the process behind them has ended.
 func (poo *Pool) Drop() {
 	poo.mut.Lock()
 	defer poo.mut.Unlock()
@@ -113,7 +113,7 @@
 func (poo *Pool) put(address netip.AddrPort, con *connection) bool {
 	poo.mut.Lock()
 	defer poo.mut.Unlock()
-	if address != poo.address {
+	if address != poo.address || poo.MaxIdle > 0 && len(poo.idle) >= poo.MaxIdle {
 		return false
 	}
 	poo.idle = append(poo.idle, con)
--- a/io/backendconn/pool_test.go
+++ b/io/http1/pool_test.go
@@ -1,4 +1,4 @@
-package backendconn_test
+package http1_test
 
 import (
 	"bufio"
@@ -16,7 +16,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"flamingoreach/io/backendconn"
+	"flamingoreach/io/http1"
 )
 
 const testTime = 5 * time.Second
@@ -68,30 +68,31 @@
 	}
 }
 
-func exchange(t *testing.T, poo *backendconn.Pool, address netip.AddrPort, id, body string) (backendconn.Response, error) {
+func exchange(t *testing.T, poo *http1.Pool, address netip.AddrPort, id, body string) (http1.Response, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), testTime)
 	defer cancel()
 	req := &http.Request{
 		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: address.String(), Opaque: "/quotes/1?a=b"},
 		Host: "quotes.example", Header: http.Header{"Id": {id}}, ProtoMajor: 1, ProtoMinor: 1,
+		Body: io.NopCloser(strings.NewReader(body)), ContentLength: int64(len(body)),
 	}
-	return poo.Exchange(ctx, address, req, []byte(body), backendconn.Rules{
+	return poo.Exchange(ctx, address, req, http1.Rules{
 		BodyBytes: 1 << 20,
 		Belongs:   func(res *http.Response) bool { return res.Header.Get("Id") == id },
 	})
 }
 
-func requireStage(t *testing.T, stage backendconn.Stage, err error) {
+func requireStage(t *testing.T, stage http1.Stage, err error) {
 	t.Helper()
-	var fai *backendconn.Failure
+	var fai *http1.Failure
 	require.ErrorAs(t, err, &fai)
 	require.Equal(t, stage, fai.Stage, "%v", err)
 }
 
 func TestAConnectionIsUsedAgain(t *testing.T) {
 	address, accepted := serve(t, echo)
-	poo := backendconn.NewPool()
+	poo := http1.NewPool(time.Second)
 	defer poo.Close()
 	for number := range 3 {
 		res, err := exchange(t, poo, address, fmt.Sprint(number), "")
@@ -107,7 +108,7 @@
 		_, _ = io.WriteString(con, answer("first", "one")+answer("first", "again"))
 		time.Sleep(testTime)
 	}, echo)
-	poo := backendconn.NewPool()
+	poo := http1.NewPool(time.Second)
 	defer poo.Close()
 	res, err := exchange(t, poo, address, "first", "")
 	require.NoError(t, err)
@@ -126,7 +127,7 @@
 		_, _ = io.WriteString(con, answer("first", "late")+answer("second", "two"))
 		time.Sleep(testTime)
 	})
-	poo := backendconn.NewPool()
+	poo := http1.NewPool(time.Second)
 	defer poo.Close()
 	_, err := exchange(t, poo, address, "first", "")
 	require.NoError(t, err)
@@ -145,10 +146,10 @@
 				_, _ = readRequest(reader)
 				_, _ = io.WriteString(con, text)
 			})
-			poo := backendconn.NewPool()
+			poo := http1.NewPool(time.Second)
 			defer poo.Close()
 			_, err := exchange(t, poo, address, "a", "")
-			requireStage(t, backendconn.Reading, err)
+			requireStage(t, http1.Reading, err)
 		})
 	}
 }
@@ -160,10 +161,10 @@
 		time.Sleep(50 * time.Millisecond)
 		_ = con.(*net.TCPConn).SetLinger(0)
 	})
-	poo := backendconn.NewPool()
+	poo := http1.NewPool(time.Second)
 	defer poo.Close()
 	_, err := exchange(t, poo, address, "a", "")
-	requireStage(t, backendconn.Reading, err)
+	requireStage(t, http1.Reading, err)
 }
 
 func TestBytesThatAreNoAnswerFail(t *testing.T) {
@@ -171,10 +172,10 @@
 		_, _ = readRequest(reader)
 		_, _ = io.WriteString(con, "\x00\x01 nonsense\r\n\r\n")
 	})
-	poo := backendconn.NewPool()
+	poo := http1.NewPool(time.Second)
 	defer poo.Close()
 	_, err := exchange(t, poo, address, "a", "")
-	requireStage(t, backendconn.Waiting, err)
+	requireStage(t, http1.Waiting, err)
 }
 
 func TestAnEarlyAnswerLetsTheBodyGoOn(t *testing.T) {
@@ -192,7 +193,7 @@
 			lengths <- length
 		}
 	})
-	poo := backendconn.NewPool()
+	poo := http1.NewPool(time.Second)
 	defer poo.Close()
 	for _, id := range []string{"a", "b"} {
 		res, err := exchange(t, poo, address, id, body)
@@ -208,10 +209,10 @@
 	require.NoError(t, err)
 	address := listener.Addr().(*net.TCPAddr).AddrPort()
 	require.NoError(t, listener.Close())
-	poo := backendconn.NewPool()
+	poo := http1.NewPool(time.Second)
 	_, err = exchange(t, poo, address, "a", "")
-	requireStage(t, backendconn.Connecting, err)
-	var fai *backendconn.Failure
+	requireStage(t, http1.Connecting, err)
+	var fai *http1.Failure
 	require.ErrorAs(t, err, &fai)
 	require.True(t, fai.Refused)
 }
@@ -223,12 +224,12 @@
 		_, _ = reader.ReadByte()
 		close(closed)
 	})
-	poo := backendconn.NewPool()
+	poo := http1.NewPool(time.Second)
 	defer poo.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
 	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address.String(), Opaque: "/"}, Header: http.Header{}}
-	_, err := poo.Exchange(ctx, address, req, nil, backendconn.Rules{BodyBytes: 1, Belongs: func(*http.Response) bool { return true }})
+	_, err := poo.Exchange(ctx, address, req, http1.Rules{BodyBytes: 1, Belongs: func(*http.Response) bool { return true }})
 	require.True(t, errors.Is(err, context.DeadlineExceeded) || err != nil)
 	select {
 	case <-closed:
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -17,9 +17,9 @@
 	"flamingoreach/core/reason"
 	"flamingoreach/core/refusal"
 	"flamingoreach/io/bytecount"
+	"flamingoreach/io/http1"
 	"flamingoreach/io/message"
 	"flamingoreach/io/peer/callv1/callv1connect"
-	"flamingoreach/io/tcpoptions"
 )
 
 const (
@@ -29,20 +29,16 @@
 	pingAfter       = 2 * time.Second
 	pingTimeout     = 2 * time.Second
 	maxMessageBytes = 64 << 20
-
-	// pooledDialTimeout spans a round trip between regions and one lost packet of the handshake is not waited for.
-	pooledDialTimeout = 300 * time.Millisecond
-	// pooledIdle is the number of idle connections kept to each node; with many nodes they are what memory goes to.
-	pooledIdle = 4
-	// pooledIdleTimeout is below the idle time of the nodes' listeners, which would end a connection in use.
-	pooledIdleTimeout = 3 * time.Second
 )
 
-// Client calls other nodes over HTTP/2.
+// Client calls other nodes.
 type Client struct {
 	leadership
 
-	http         *http.Client
+	http connect.HTTPClient
+	// sweep closes connections that were idle too long, drop all idle ones.
+	sweep, drop func()
+
 	scheme       string
 	calls        sync.Map
 	controls     sync.Map
@@ -51,7 +47,7 @@
 	counter      bytecount.Counter
 }
 
-// NewClient returns a client without connections; dialTLS is nil for cleartext.
+// NewClient returns a client over HTTP/2 without connections; dialTLS is nil for cleartext.
 func NewClient(dialTLS func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
 	protocols := new(http.Protocols)
 	cli := &Client{scheme: "http://"}
@@ -63,7 +59,7 @@
 		protocols.SetHTTP2(true)
 		cli.scheme = "https://"
 	}
-	cli.http = &http.Client{Transport: &http.Transport{
+	client := &http.Client{Transport: &http.Transport{
 		Protocols:          protocols,
 		DialContext:        dial,
 		DialTLSContext:     dialTLS,
@@ -71,6 +67,7 @@
 		DisableCompression: true,
 		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}}
+	cli.http, cli.sweep, cli.drop = traced{client}, func() {}, client.CloseIdleConnections
 	return cli
 }
 
@@ -79,24 +76,23 @@
 func NewPooledClient() *Client {
 	cli := &Client{scheme: "http://"}
 	cli.codec = newCodec(&cli.controlBytes)
-	cli.http = &http.Client{Transport: &http.Transport{
-		DialContext:         cli.counter.Dialer(tcpoptions.Dialer(pooledDialTimeout).DialContext),
-		MaxIdleConnsPerHost: pooledIdle,
-		IdleConnTimeout:     pooledIdleTimeout,
-		DisableCompression:  true,
-	}}
+	pools := &pooled{pools: map[string]*nodePool{}}
+	cli.http, cli.sweep, cli.drop = pools, pools.sweep, pools.drop
 	return cli
 }
 
 // ControlBytes returns the bytes of all control messages sent and received by this client.
 func (cli *Client) ControlBytes() uint64 { return cli.controlBytes.Load() }
 
-// ConnectionBytes returns the bytes of all cleartext connections of this client, calls included; those with TLS are
-// left out, as the transport finds the protocol on a *tls.Conn only.
+// ConnectionBytes returns the bytes of all cleartext connections of HTTP/2 of this client, calls included; those with
+// TLS are left out, as the transport finds the protocol on a *tls.Conn only.
 func (cli *Client) ConnectionBytes() uint64 { return cli.counter.Bytes() }
 
+// Sweep closes connections that were idle too long, where no goroutine of the client does.
+func (cli *Client) Sweep() { cli.sweep() }
+
 // Close drops idle connections.
-func (cli *Client) Close() { cli.http.CloseIdleConnections() }
+func (cli *Client) Close() { cli.drop() }
 
 func (cli *Client) callService(address netip.AddrPort) callv1connect.CallServiceClient {
 	if service, known := cli.calls.Load(address); known {
@@ -110,22 +106,22 @@
 
 // Run sends one attempt to a gate. An error is a *refusal.Refusal, "not run" only if nothing was sent.
 func (cli *Client) Run(ctx context.Context, address netip.AddrPort, cal call.Call, version uint64, msg message.Message) (answer.Answer, message.Message, error) {
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	res, err := cli.callService(address).Run(ctx, connect.NewRequest(encodeRequest(cal, version, msg)))
 	if err != nil {
-		return answer.Answer{}, message.Message{}, failure(address, connected.Load())
+		return answer.Answer{}, message.Message{}, failure(address, err)
 	}
 	ans, reply, err := decodeResponse(res.Msg)
 	if err != nil {
-		return answer.Answer{}, message.Message{}, failure(address, true)
+		return answer.Answer{}, message.Message{}, failure(address, err)
 	}
 	return ans, reply, nil
 }
 
-func failure(address netip.AddrPort, connected bool) *refusal.Refusal {
+// failure returns the refusal of a call without an answer; only one that was never sent has surely not run.
+func failure(address netip.AddrPort, err error) *refusal.Refusal {
 	ref := refusal.Unknown(reason.PeerUnreachable, "run at peer")
-	if !connected {
+	var fai *http1.Failure
+	if errors.As(err, &fai) && fai.Stage == http1.Connecting {
 		ref = refusal.NotRun(reason.PeerUnreachable, "connect to peer")
 		ref.Elsewhere = true
 	}
