--- a/cmd/flamingoreach-host/command/benchmark_test.go
+++ b/cmd/flamingoreach-host/command/benchmark_test.go
@@ -14,10 +14,10 @@
 	"testing"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
 
+	"flamingoreach/io/boundedwriter"
 	"flamingoreach/platform"
 	"flamingoreach/platform/standin"
 	"flamingoreach/proofs/loopback"
@@ -127,7 +127,7 @@
 	go func() { _ = server.Serve(listener) }()
 	go backend.Announce(ctx)
 	ended := make(chan error, 1)
-	go func() { ended <- serve(ctx, file, set, log.New(io.Discard)) }()
+	go func() { ended <- serve(ctx, file, set, boundedwriter.New(io.Discard, 1)) }()
 	b.Cleanup(func() {
 		require.NoError(b, <-ended)
 		require.NoError(b, server.Close())
--- a/cmd/flamingoreach-host/command/command.go
+++ b/cmd/flamingoreach-host/command/command.go
@@ -6,7 +6,6 @@
 	"io"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -37,9 +36,6 @@
 	bodyTime = 30 * time.Second
 	// backendDialTimeout is ample for a process on the same host that lives.
 	backendDialTimeout = 500 * time.Millisecond
-	// garbagePercent is the growth of the heap between collections: memory at its peak is dearer on the platform than
-	// processor time.
-	garbagePercent = 30
 )
 
 // Main runs the command line and returns the exit code.
@@ -91,12 +87,11 @@
 	if err != nil {
 		return exit(err, exitWrongUsage)
 	}
-	debug.SetGCPercent(garbagePercent)
 	lines := boundedwriter.New(os.Stdout, waitingLines)
 	writing, stopWriting := context.WithCancel(context.Background())
 	written := make(chan error, 1)
 	go func() { written <- lines.Run(writing) }()
-	err = serve(ctx, cmd.String("settings"), set, newLogger(lines))
+	err = serve(ctx, cmd.String("settings"), set, lines)
 	stopWriting()
 	if writeErr := <-written; err == nil && writeErr != nil {
 		err = writeErr
@@ -108,7 +103,8 @@
 }
 
 // serve composes the node with the platform's translation and runs it.
-func serve(ctx context.Context, file string, set hostsettings.Settings, logger *log.Logger) error {
+func serve(ctx context.Context, file string, set hostsettings.Settings, lines *boundedwriter.Writer) error {
+	logger := newLogger(lines)
 	store := platform.NewStore(set.Store)
 	defer store.Close()
 	pool := http1.NewPool(backendDialTimeout)
@@ -119,6 +115,7 @@
 		Execute: backend.Execute, Sweep: pool.Sweep, Drop: pool.Drop,
 	}, logger)
 	backend.Broke = nod.Broke
+	nod.Metrics().Gauge("log_lines_dropped", func() float64 { return float64(lines.Dropped()) })
 	nod.Reload(set)
 	watching, stopWatching := context.WithCancel(ctx)
 	watched := make(chan error, 1)
--- /dev/null
+++ b/core/collection/pace_test.go
@@ -0,0 +1,56 @@
+package collection_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingoreach/core/collection"
+)
+
+const cores = 0.5
+
+// process uses a part of its share of the processor.
+type process struct {
+	used    time.Duration
+	percent int
+	changes []string
+}
+
+func (pro *process) pace() *collection.Pace {
+	pac := collection.New(cores)
+	pac.Used = func() time.Duration { return pro.used }
+	pac.SetPercent = func(percent int) { pro.percent = percent }
+	pac.Changed = func(state string, _ float64) { pro.changes = append(pro.changes, state) }
+	pac.Start()
+	return pac
+}
+
+// run ticks for a number of seconds in which a part of the share is used.
+func (pro *process) run(pac *collection.Pace, seconds int, part float64) {
+	const tick = 100 * time.Millisecond
+	for range seconds * int(time.Second/tick) {
+		time.Sleep(tick)
+		pro.used += time.Duration(part * cores * float64(tick))
+		pac.Tick()
+	}
+}
+
+func TestGarbageIsCollectedLessOftenWhileTheProcessorIsShort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pro := &process{}
+		pac := pro.pace()
+		sparing := pro.percent
+		pro.run(pac, 5, 0.2)
+		require.Equal(t, sparing, pro.percent)
+		pro.run(pac, 2, 0.9)
+		require.Greater(t, pro.percent, sparing)
+		pro.run(pac, 5, 0.4)
+		require.Greater(t, pro.percent, sparing, "no change to and fro between the two bounds")
+		pro.run(pac, 2, 0.1)
+		require.Equal(t, sparing, pro.percent)
+		require.Equal(t, []string{"hurried", "sparing"}, pro.changes)
+	})
+}
--- a/io/hostnode/fleet_test.go
+++ b/io/hostnode/fleet_test.go
@@ -235,7 +235,7 @@
 	return hostsettings.Settings{
 		Name: name, Host: address, DataCentre: "a", Region: "r", Service: service,
 		Callers: at(0), Announcements: at(1), Ready: at(2), Peers: at(3), Metrics: at(4),
-		BackendServer: at(5), MemoryBytes: 1 << 30, LinkBytes: 1 << 30,
+		BackendServer: at(5), MemoryBytes: 1 << 30, Cores: 1, LinkBytes: 1 << 30,
 		Bounds: hostsettings.Bounds{RepeatRatio: 0.2, RepeatSlack: 48, StopTime: stopTime, ConfigurationTime: 2 * time.Second},
 	}
 }
--- a/io/hostnode/node.go
+++ b/io/hostnode/node.go
@@ -11,6 +11,7 @@
 	"flamingoreach/core/admission"
 	"flamingoreach/core/announcement"
 	"flamingoreach/core/attempt"
+	"flamingoreach/core/collection"
 	"flamingoreach/core/configurationfeed"
 	"flamingoreach/core/control"
 	"flamingoreach/core/gate"
@@ -84,6 +85,7 @@
 	repeats   *repeatbudget.Budget
 	link      *linkbudget.Budget
 	metrics   *metricset.MetricSet
+	pace      *collection.Pace
 
 	peerClient *peer.Client
 	peerServer *peer.Server
@@ -100,6 +102,8 @@
 	crashes *crashlink.Link
 	// hosts holds the address of each host and when it was last known to be alive.
 	hosts map[netip.AddrPort]time.Time
+	// processorUsed is the processor time of this process when it was last read.
+	processorUsed time.Duration
 	// versionsDue is when the next node is asked for its version.
 	versionsDue time.Time
 }
@@ -120,6 +124,7 @@
 		repeats:    repeatbudget.New(set.Bounds.RepeatRatio, set.Bounds.RepeatSlack),
 		link:       linkbudget.New(float64(set.LinkBytes)),
 		metrics:    metricset.New(),
+		pace:       collection.New(set.Cores),
 		peerClient: peer.NewPooledClient(),
 		peerServer: peer.NewServer(),
 		server:     localserver.New(),
@@ -144,6 +149,7 @@
 	nod.joinMembers()
 	nod.joinConfiguration()
 	nod.joinShares()
+	nod.joinRuntime()
 	nod.registerGauges()
 	return nod
 }
--- a/io/hostnode/reload.go
+++ b/io/hostnode/reload.go
@@ -1,19 +1,11 @@
 package hostnode
 
-import (
-	"runtime/debug"
-
-	"flamingoreach/io/hostsettings"
-)
-
-// memoryPart is the part of the memory limit that the runtime aims to stay below; the rest is for stacks, for bytes that
-// the kernel holds for the process, and for the time until a collection ends.
-const memoryPart = 0.6
+import "flamingoreach/io/hostsettings"
 
 // Reload puts changed settings in force, as far as a running process can take them; it may be called at any time.
 func (nod *Node) Reload(set hostsettings.Settings) {
 	former := nod.bounds.Swap(&set.Bounds)
-	debug.SetMemoryLimit(int64(float64(set.MemoryBytes) * memoryPart))
+	setMemoryLimit(set.MemoryBytes)
 	nod.repeats.SetBounds(set.Bounds.RepeatRatio, set.Bounds.RepeatSlack)
 	nod.log.Info("settings reloaded", "bounds", set.Bounds, "formerBounds", *former, "memoryBytes", set.MemoryBytes,
 		"needsRestart", nod.needsRestart(set))
--- a/io/hostsettings/settings.go
+++ b/io/hostsettings/settings.go
@@ -27,6 +27,8 @@
 	Store netip.AddrPort
 	// MemoryBytes is the most that the process may use.
 	MemoryBytes int64
+	// Cores is the process's share of the processor, in cores.
+	Cores float64
 	// LinkBytes is the capacity of the host's own link, in bytes per second.
 	LinkBytes int
 	Bounds    Bounds
