Put links before callers, backend servers and the store in the soak

Connections through a link are delayed, reset, silenced in one direction or in both; what a silent link held back is lost.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -63,6 +63,17 @@
 				hos.harm()
 			}
 		}},
+		{"callersLink", func(ctx context.Context, _ *Fleet, hos *host, ran *rand.Rand) {
+			hos.callersLink.disturb(ctx, ran, 2*time.Second)
+		}},
+		{"backendLink", func(ctx context.Context, _ *Fleet, hos *host, ran *rand.Rand) {
+			hos.backendLink.disturb(ctx, ran, 2*time.Second)
+		}},
+		{"storeLink", func(ctx context.Context, _ *Fleet, hos *host, ran *rand.Rand) {
+			hos.harm()
+			hos.storeLink.disturb(ctx, ran, 4*time.Second)
+			hos.harm()
+		}},
 		{"history", func(_ context.Context, fle *Fleet, _ *host, _ *rand.Rand) { fle.store.Forget() }},
 		{"keys", func(_ context.Context, fle *Fleet, _ *host, _ *rand.Rand) { fle.changeKeys() }},
 		{"lostAnswers", func(ctx context.Context, _ *Fleet, hos *host, ran *rand.Rand) {
--- a/soak/host.go
+++ b/soak/host.go
@@ -25,7 +25,9 @@
 	backendPort = 8547
 	storePort   = 8545
 	peersPort   = 7000
-	graceTime   = 6 * time.Second
+	// behindLink is added to the port of what stands behind a link.
+	behindLink = 1000
+	graceTime  = 6 * time.Second
 )
 
 // host is one node process with its backend server and its own view of the store.
@@ -44,6 +46,8 @@
 	starts  int
 	harmed  time.Time
 	servers []*http.Server
+	// The links to the node for callers, and to what the node calls.
+	callersLink, backendLink, storeLink *link
 }
 
 // newHost binds the stand-ins of a host and writes its settings; it fails if an address is taken.
@@ -51,7 +55,7 @@
 	address := netip.AddrFrom4([4]byte{127, byte(10 + fleet.number), 1, byte(number + 1)})
 	service := []string{"quotes", "confirms"}[number%2]
 	hos := &host{
-		name: fmt.Sprintf("host%d", number), address: address, callers: netip.AddrPortFrom(address, callersPort),
+		name: fmt.Sprintf("host%d", number), address: address, callers: netip.AddrPortFrom(address, callersPort+behindLink),
 		folder: fleet.folder, program: fleet.program, door: fleet.store.Door(), ledger: fleet.ledger,
 	}
 	hos.backend = &standin.BackendServer{
@@ -59,7 +63,7 @@
 	}
 	hos.backend.Restart()
 	for port, handler := range map[uint16]http.Handler{storePort: hos.door, backendPort: hos.backend} {
-		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", netip.AddrPortFrom(address, port).String())
+		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", netip.AddrPortFrom(address, port+behindLink).String())
 		if err != nil {
 			hos.close()
 			return nil, eris.Wrap(err, "bind stand-in")
@@ -68,9 +72,29 @@
 		hos.servers = append(hos.servers, server)
 		go func() { _ = server.Serve(listener) }()
 	}
+	if err := hos.openLinks(ctx); err != nil {
+		hos.close()
+		return nil, err
+	}
 	return hos, hos.writeSettings(number, service)
 }
 
+// openLinks puts a link before the node's callers' listener, and before the backend server and the store.
+func (hos *host) openLinks(ctx context.Context) error {
+	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(hos.address, port) }
+	var err error
+	if hos.callersLink, err = newLink(ctx, hos.callers, at(callersPort)); err != nil {
+		return err
+	}
+	if hos.backendLink, err = newLink(ctx, at(backendPort), at(backendPort+behindLink)); err != nil {
+		return err
+	}
+	hos.storeLink, err = newLink(ctx, at(storePort), at(storePort+behindLink))
+	return err
+}
+
+func (hos *host) links() []*link { return []*link{hos.callersLink, hos.backendLink, hos.storeLink} }
+
 func (hos *host) writeSettings(number int, service string) error {
 	text := standin.Settings(standin.Place{
 		Name: hos.name, Address: hos.address, DataCentre: fmt.Sprint("z", number/2%2), Service: service, StopTime: graceTime,
@@ -125,6 +149,11 @@
 	if node := hos.signal(syscall.SIGCONT); node != nil && node.Alive() {
 		node.Kill()
 	}
+	for _, lin := range hos.links() {
+		if lin != nil {
+			lin.close()
+		}
+	}
 	for _, server := range hos.servers {
 		_ = server.Close()
 	}
