--- a/cmd/flamingoreach-host/command/command.go
+++ b/cmd/flamingoreach-host/command/command.go
@@ -40,13 +40,16 @@
 
 // Main runs the command line and returns the exit code.
 func Main(args []string) int {
+	// The signal may come at any moment, and ends a process that does not ask for it.
+	reloads := hangups()
 	root := &cli.Command{
 		Name:  "flamingoreach-host",
 		Usage: "the node on the users' platform",
 		Commands: []*cli.Command{
 			{
 				Name: "node", Usage: "run the node beside a backend server until SIGTERM, which drains it",
-				Flags: []cli.Flag{settingsFlag()}, Action: runNode,
+				Flags:  []cli.Flag{settingsFlag()},
+				Action: func(ctx context.Context, cmd *cli.Command) error { return runNode(ctx, cmd, reloads) },
 			},
 			{
 				Name: "check", Usage: "check a settings file and print its faults",
@@ -82,7 +85,7 @@
 	return err
 }
 
-func runNode(ctx context.Context, cmd *cli.Command) error {
+func runNode(ctx context.Context, cmd *cli.Command, reloads <-chan os.Signal) error {
 	set, err := platform.ReadSettings(cmd.String("settings"))
 	if err != nil {
 		return exit(err, exitWrongUsage)
@@ -91,7 +94,7 @@
 	writing, stopWriting := context.WithCancel(context.Background())
 	written := make(chan error, 1)
 	go func() { written <- lines.Run(writing) }()
-	err = serve(ctx, cmd.String("settings"), set, lines)
+	err = serve(ctx, cmd.String("settings"), set, lines, reloads)
 	stopWriting()
 	if writeErr := <-written; err == nil && writeErr != nil {
 		err = writeErr
@@ -103,7 +106,7 @@
 }
 
 // serve composes the node with the platform's translation and runs it.
-func serve(ctx context.Context, file string, set hostsettings.Settings, lines *boundedwriter.Writer) error {
+func serve(ctx context.Context, file string, set hostsettings.Settings, lines *boundedwriter.Writer, reloads <-chan os.Signal) error {
 	logger := newLogger(lines)
 	store := platform.NewStore(set.Store)
 	defer store.Close()
@@ -119,7 +122,7 @@
 	nod.Reload(set)
 	watching, stopWatching := context.WithCancel(ctx)
 	watched := make(chan error, 1)
-	go func() { watched <- watch.File(watching, file, hangups(), func() { reload(nod, file, logger) }) }()
+	go func() { watched <- watch.File(watching, file, reloads, func() { reload(nod, file, logger) }) }()
 	err := nod.Run(ctx, hostnode.Handlers{
 		Callers: &platform.Front{
 			CallerService: set.Service, BodyBytes: bodyBytes, BodyTime: bodyTime, Serve: nod.Serve, Refused: nod.Refused,
--- a/io/httplistener/listener_test.go
+++ b/io/httplistener/listener_test.go
@@ -146,3 +146,19 @@
 	}
 	return soc.Accept()
 }
+
+func TestNoConnectionIsEstablishedBetweenTheTakingOfTheBacklogAndTheClose(t *testing.T) {
+	bound, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	soc := newSocket(bound.(*net.TCPListener))
+	soc.taken = func() {
+		con, err := (&net.Dialer{Timeout: 100 * time.Millisecond}).DialContext(t.Context(), "tcp", bound.Addr().String())
+		if err == nil {
+			t.Error("a connection that will be reset was established")
+			_ = con.Close()
+		}
+	}
+	soc.drain(t.Context())
+	_, err = acceptAfterClose(soc)
+	require.ErrorIs(t, err, net.ErrClosed)
+}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -10,6 +10,9 @@
 	"flamingoreach/platform/standin"
 )
 
+// reloadTime is ample for a process that a signal ends.
+const reloadTime = 200 * time.Millisecond
+
 // fault is one kind of trouble that may befall a host, or the fleet.
 type fault struct {
 	name string
@@ -42,7 +45,12 @@
 			sleep(ctx, span(ran, 2*time.Second))
 			hos.signal(syscall.SIGCONT)
 		}},
-		{"reload", func(_ context.Context, _ *Fleet, hos *host, _ *rand.Rand) { hos.signal(syscall.SIGHUP) }},
+		{"reload", func(ctx context.Context, _ *Fleet, hos *host, _ *rand.Rand) {
+			hos.signal(syscall.SIGHUP)
+			// The platform starts a process again that was ended before it could ask for the signal.
+			sleep(ctx, reloadTime)
+			_ = hos.start(ctx)
+		}},
 		{"store", func(ctx context.Context, _ *Fleet, hos *host, ran *rand.Rand) {
 			ways := []standin.Way{standin.Refuses, standin.Silent, standin.Resets, standin.Slow, standin.Loses}
 			hos.harm()
