Answer the requests that have come on a listener's connections before it closes

The library's shutdown closes each connection that it takes for idle, also one on which a request waits unread, and gives no answer to a request that it reads after the shutdown has begun, also on a connection of the backlog. Ruled out: the backlog (filled now), clients that reuse a connection after its answer said close. Now a listener closes each connection of HTTP/1.1 itself, once no answer is owed on it, and leaves those of HTTP/2 to the library, which tells their clients.

--- a/io/framing/framing.go
+++ b/io/framing/framing.go
@@ -93,6 +93,12 @@
 	}
 }
 
+// Framed reports whether a connection that this package watches speaks HTTP/2.
+func Framed(con net.Conn) bool {
+	wat, ok := con.(*watched)
+	return ok && wat.framed.Load()
+}
+
 // Ambiguous reports whether the head of a request on this connection gave two lengths.
 func Ambiguous(ctx context.Context) bool {
 	wat, ok := ctx.Value(contextKey{}).(*watched)
--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"flamingoreach/io/tcpoptions"
 )
 
 const (
@@ -54,18 +56,8 @@
 	if !ok {
 		return true
 	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	silent := false
-	err = raw.Read(func(descriptor uintptr) bool {
-		var probe [1]byte
-		_, _, err := unix.Recvfrom(int(descriptor), probe[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		silent = errors.Is(err, unix.EAGAIN)
-		return true
-	})
-	return err == nil && silent
+	_, err := tcpoptions.Peek(tcp)
+	return errors.Is(err, unix.EAGAIN)
 }
 
 // exchange sends a request and reads its answer; the connection must not be used again unless reusable is true.
--- a/io/httplistener/listener.go
+++ b/io/httplistener/listener.go
@@ -76,7 +76,10 @@
 		ReadTimeout:       bou.ReadTime,
 		IdleTimeout:       bou.IdleTime,
 		ConnContext:       framing.Connected,
-		ConnState:         framing.Changed,
+		ConnState: func(con net.Conn, state http.ConnState) {
+			bound.kept.state(con, state)
+			framing.Changed(con, state)
+		},
 	}
 	return lis, nil
 }
@@ -120,6 +123,7 @@
 		case <-ctx.Done():
 		}
 	}
+	lis.bound.kept.end(ctx)
 	err := lis.server.Shutdown(ctx)
 	if err != nil {
 		_ = lis.server.Close()
--- a/io/httplistener/listener_test.go
+++ b/io/httplistener/listener_test.go
@@ -162,3 +162,56 @@
 	_, err = acceptAfterClose(soc)
 	require.ErrorIs(t, err, net.ErrClosed)
 }
+
+// The listener closes at a moment at which requests have come and nobody has read them yet.
+func TestRequestsThatCameOnIdleAndNewConnectionsAreAnsweredAtTheClose(t *testing.T) {
+	const connections = 64
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	handler := http.HandlerFunc(func(wri http.ResponseWriter, _ *http.Request) { _, _ = wri.Write([]byte("done")) })
+	bou := Bounds{HeaderBytes: 4096, HeaderTime: time.Second, IdleTime: time.Minute, Connections: 2 * connections}
+	lis, err := Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"), handler, bou)
+	require.NoError(t, err)
+	ended := make(chan error, 1)
+	go func() { ended <- lis.Serve() }()
+	var cons []net.Conn
+	var readers []*bufio.Reader
+	ask := func(con net.Conn) {
+		_, err := con.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))
+		require.NoError(t, err)
+	}
+	for index := range connections {
+		con, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", lis.Address().String())
+		require.NoError(t, err)
+		cons, readers = append(cons, con), append(readers, bufio.NewReader(con))
+		ask(con)
+		requireAnswer(t, readers[index])
+	}
+	// The library takes a connection for idle a moment after its answer was sent.
+	time.Sleep(100 * time.Millisecond)
+	for _, con := range cons {
+		ask(con)
+	}
+	for range connections / 2 {
+		con, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", lis.Address().String())
+		require.NoError(t, err)
+		cons, readers = append(cons, con), append(readers, bufio.NewReader(con))
+		ask(con)
+	}
+	closed := make(chan error, 1)
+	go func() { closed <- lis.Close(t.Context()) }()
+	for index, con := range cons {
+		requireAnswer(t, readers[index])
+		require.NoError(t, con.Close())
+	}
+	require.NoError(t, <-closed)
+	require.NoError(t, <-ended)
+}
+
+func requireAnswer(t *testing.T, reader *bufio.Reader) {
+	t.Helper()
+	res, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, res.Body)
+	require.NoError(t, err)
+	require.NoError(t, res.Body.Close())
+}
--- a/io/httplistener/socket.go
+++ b/io/httplistener/socket.go
@@ -22,25 +22,29 @@
 type socket struct {
 	*net.TCPListener
 
+	kept    *keptSet
 	closing atomic.Bool
 	// backlog holds the connections that were taken at the close.
-	backlog chan net.Conn
+	backlog chan *net.TCPConn
 	// taken, if set, is called between the taking of the backlog and the close; tests connect then.
 	taken func()
 }
 
 func newSocket(bound *net.TCPListener) *socket {
-	return &socket{TCPListener: bound, backlog: make(chan net.Conn)}
+	return &socket{TCPListener: bound, kept: newKeptSet(), backlog: make(chan *net.TCPConn)}
 }
 
 // Accept returns the next connection, those of the backlog last, and then net.ErrClosed.
 func (soc *socket) Accept() (net.Conn, error) {
-	con, err := soc.TCPListener.Accept()
-	if err == nil || !soc.closing.Load() {
-		return con, err
+	con, err := soc.AcceptTCP()
+	if err == nil {
+		return soc.kept.add(con), nil
+	}
+	if !soc.closing.Load() {
+		return nil, err
 	}
 	if con, open := <-soc.backlog; open {
-		return con, nil
+		return soc.kept.add(con), nil
 	}
 	return nil, net.ErrClosed
 }
@@ -115,12 +119,12 @@
 }
 
 // connection returns nil if the descriptor cannot be used.
-func connection(descriptor int) net.Conn {
+func connection(descriptor int) *net.TCPConn {
 	file := os.NewFile(uintptr(descriptor), "connection")
 	defer func() { _ = file.Close() }()
 	con, err := net.FileConn(file)
 	if err != nil {
 		return nil
 	}
-	return con
+	return con.(*net.TCPConn)
 }
