--- a/io/httplistener/kept.go
+++ b/io/httplistener/kept.go
@@ -1,25 +1,16 @@
 package httplistener
 
 import (
-	"context"
-	"crypto/tls"
 	"net"
 	"net/http"
-	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
-	"flamingoreach/io/framing"
 	"flamingoreach/io/tcpoptions"
 )
 
-const (
-	// firstRequestTime is how long a connection that was established before the close may take to send its request.
-	firstRequestTime = 500 * time.Millisecond
-	// closePoll is the time between two looks at the connections of a listener that closes.
-	closePoll = 10 * time.Millisecond
-)
+// firstRequestTime is how long a connection that was established before the close may take to send its request.
+const firstRequestTime = 500 * time.Millisecond
 
 // kept is an open connection of a listener, with what is known of the requests on it. A server that stops must not drop
 // one that has come: the library's own shutdown gives no answer to requests that it has not read before, and takes a
@@ -80,90 +71,3 @@
 	unread, err := tcpoptions.Peek(kep.TCPConn)
 	return err != nil || !unread
 }
-
-// keptSet holds the open connections of one listener by the address of the other end.
-type keptSet struct {
-	mut  sync.Mutex
-	open map[netip.AddrPort]*kept
-}
-
-func newKeptSet() *keptSet { return &keptSet{open: map[netip.AddrPort]*kept{}} }
-
-func (set *keptSet) add(con *net.TCPConn) *kept {
-	kep := &kept{TCPConn: con, all: set, opened: time.Now()}
-	set.mut.Lock()
-	defer set.mut.Unlock()
-	set.open[remote(con)] = kep
-	return kep
-}
-
-func (set *keptSet) forget(kep *kept) {
-	set.mut.Lock()
-	defer set.mut.Unlock()
-	if address := remote(kep.TCPConn); set.open[address] == kep {
-		delete(set.open, address)
-	}
-}
-
-// state notes a change of state that the library tells.
-func (set *keptSet) state(con net.Conn, state http.ConnState) {
-	set.mut.Lock()
-	kep := set.open[remote(con)]
-	set.mut.Unlock()
-	if kep == nil {
-		return
-	}
-	kep.framed.Store(isFramed(con))
-	kep.state.Store(int32(state))
-}
-
-// isFramed reports whether a connection speaks HTTP/2.
-func isFramed(con net.Conn) bool {
-	if secure, ok := con.(*tls.Conn); ok {
-		return secure.ConnectionState().NegotiatedProtocol == "h2"
-	}
-	return framing.Framed(con)
-}
-
-// end closes each connection of HTTP/1.1 once no answer is owed on it, and returns when none is left or the context ends.
-// Each answer must say that its connection ends.
-func (set *keptSet) end(ctx context.Context) {
-	ticker := time.NewTicker(closePoll)
-	defer ticker.Stop()
-	for set.endDone() > 0 {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// endDone returns the number of connections of HTTP/1.1 that are left.
-func (set *keptSet) endDone() int {
-	set.mut.Lock()
-	var open []*kept
-	for _, kep := range set.open {
-		if !kep.framed.Load() {
-			open = append(open, kep)
-		}
-	}
-	set.mut.Unlock()
-	now, left := time.Now(), 0
-	for _, kep := range open {
-		if !kep.done(now) {
-			left++
-			continue
-		}
-		_ = kep.Close()
-	}
-	return left
-}
-
-// remote returns the address of a connection's other end.
-func remote(con net.Conn) netip.AddrPort {
-	if address, ok := con.RemoteAddr().(*net.TCPAddr); ok {
-		return address.AddrPort()
-	}
-	return netip.AddrPort{}
-}
