--- a/core/tokenshare/tokenshare.go
+++ b/core/tokenshare/tokenshare.go
@@ -28,6 +28,8 @@
 	dryTime = 300 * time.Millisecond
 	// demandTime is the time over which the demand is averaged.
 	demandTime = time.Second
+	// holdersAtOnce is the number of holders among which an asking is divided, as one may have lent all that it had.
+	holdersAtOnce = 2
 	// idleTime is how long a host keeps a borrowed token without a call. Tokens that are given up are lost to the account,
 	// and tokens that are kept at all hosts come on top of its burst.
 	idleTime = 3 * time.Second
@@ -187,8 +189,9 @@
 		if buc.tokens >= buc.need() || tokens < 1 {
 			continue
 		}
-		if holder, found := buc.otherHolder(sha.self); found {
-			wants[holder] = append(wants[holder], loan.Loan{Account: name, Tokens: tokens})
+		holders := buc.otherHolders(sha.self, int(tokens))
+		for _, holder := range holders {
+			wants[holder] = append(wants[holder], loan.Loan{Account: name, Tokens: math.Ceil(tokens / float64(len(holders)))})
 		}
 	}
 	return wants
@@ -264,17 +267,17 @@
 	}
 }
 
-// otherHolder returns a random holder other than this host.
-func (buc *bucket) otherHolder(self netip.AddrPort) (netip.AddrPort, bool) {
-	count := len(buc.holders)
-	if count == 0 || count == 1 && buc.holds {
-		return netip.AddrPort{}, false
-	}
-	at := rand.IntN(count)
-	if buc.holders[at] == self {
-		at = (at + 1) % count
+// otherHolders returns a random holder other than this host, and the next ones too where several tokens are asked for.
+func (buc *bucket) otherHolders(self netip.AddrPort, tokens int) []netip.AddrPort {
+	count, most := len(buc.holders), min(tokens, holdersAtOnce)
+	var chosen []netip.AddrPort
+	offset := rand.IntN(max(count, 1))
+	for index := 0; index < count && len(chosen) < most; index++ {
+		if holder := buc.holders[(offset+index)%count]; holder != self {
+			chosen = append(chosen, holder)
+		}
 	}
-	return buc.holders[at], true
+	return chosen
 }
 
 // need is the number of tokens for the own demand until more could be borrowed.
