Read a member's load in one place, and pass the listener's address as such

The choice by room had a second copy of the rule by which a told load is forgotten; both call loadAtTime now. takeBacklog takes a netip.AddrPort in place of text. Behaviour is as before.

--- a/core/pick/observation.go
+++ b/core/pick/observation.go
@@ -188,7 +188,12 @@
 func (obs *observation) freshLoad() float64 {
 	obs.mux.Lock()
 	defer obs.mux.Unlock()
-	if time.Since(obs.reported) > reportLifetime {
+	return obs.loadAtTime(time.Now())
+}
+
+// loadAtTime returns the load that the member told last, or 0 if that was long ago.
+func (obs *observation) loadAtTime(now time.Time) float64 {
+	if now.Sub(obs.reported) > reportLifetime {
 		return 0
 	}
 	return obs.load
--- a/core/pick/room.go
+++ b/core/pick/room.go
@@ -145,13 +145,13 @@
 func (obs *observation) prospect(route string, now time.Time) prospect {
 	obs.mux.Lock()
 	defer obs.mux.Unlock()
-	pro := prospect{failing: obs.failingAtTime(now), last: obs.ejectedAtTime(now) || now.Before(obs.awayUntil)}
+	pro := prospect{
+		load: obs.loadAtTime(now), failing: obs.failingAtTime(now),
+		last: obs.ejectedAtTime(now) || now.Before(obs.awayUntil),
+	}
 	if known, found := obs.routes[route]; found && now.Sub(known.at) <= latencyLifetime {
 		pro.latency = known.latency
 	}
-	if now.Sub(obs.reported) <= reportLifetime {
-		pro.load = obs.load
-	}
 	return pro
 }
 
--- a/io/httplistener/socket.go
+++ b/io/httplistener/socket.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"os"
 	"sync/atomic"
 	"time"
@@ -61,7 +62,7 @@
 	var filler net.Conn
 	if raw, err := soc.SyscallConn(); err == nil {
 		_ = raw.Control(func(listening uintptr) {
-			descriptors, filler = takeBacklog(ctx, int(listening), soc.Addr().String())
+			descriptors, filler = takeBacklog(ctx, int(listening), soc.Addr().(*net.TCPAddr).AddrPort())
 			if soc.taken != nil {
 				soc.taken()
 			}
@@ -90,13 +91,13 @@
 // kernel would reset that one then, after its client may have sent a request. The packet of a connection that begins
 // meanwhile is dropped, and the next one finds the listener closed. The filler must be closed after the listener; it is
 // nil if the backlog could not be filled, and the short time until the close remains.
-func takeBacklog(ctx context.Context, listening int, address string) (descriptors []int, filler net.Conn) {
+func takeBacklog(ctx context.Context, listening int, address netip.AddrPort) (descriptors []int, filler net.Conn) {
 	// A backlog of length 0 holds one connection.
 	_ = unix.Listen(listening, 0)
 	dialer := net.Dialer{Timeout: fillTime}
 	for range fillAttempts {
 		descriptors = append(descriptors, takeAll(listening)...)
-		if filler, err := dialer.DialContext(ctx, "tcp", address); err == nil {
+		if filler, err := dialer.DialContext(ctx, "tcp", address.String()); err == nil {
 			return descriptors, filler
 		}
 	}
