--- a/core/division/division_test.go
+++ b/core/division/division_test.go
@@ -25,6 +25,8 @@
 	expected uint64
 	written  []divisionrow.DivisionRow
 	fences   []leaderfence.Fence
+	// quiet is the time since the last renewal of the own lease.
+	quiet time.Duration
 }
 
 func newLeader() *leader {
@@ -33,6 +35,7 @@
 	lea.issuer.Open(time.Now())
 	lea.division = division.New("x", 1, time.Now(), lea.issuer)
 	lea.division.Fence = func() (uint64, bool) { return 3, true }
+	lea.division.RenewedAt = func() time.Time { return time.Now().Add(-lea.quiet) }
 	lea.division.Read = func(ticket uint64, _ string) { lea.ticket, lea.reads = ticket, lea.reads+1 }
 	lea.division.Write = func(ticket uint64, _ string, expected uint64, value divisionrow.DivisionRow, fences []leaderfence.Fence) {
 		lea.ticket, lea.expected, lea.fences = ticket, expected, fences
@@ -123,3 +126,31 @@
 		require.Zero(t, lea.issuer.Level("two"))
 	})
 }
+
+func TestNoPartIsGivenAwayWhileTheTableMayBeGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lea := newLeader()
+		lea.quiet = 3 * time.Second
+		lea.press()
+		require.Empty(t, lea.written)
+		require.InDelta(t, 50, lea.issuer.Level("one"), 1e-6, "the own part stays as it was")
+		lea.quiet = 0
+		lea.division.Tick()
+		require.Len(t, lea.written, 1)
+	})
+}
+
+func TestADataCentreWithoutDemandKeepsTokensForAFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lea := newLeader()
+		for revision := uint64(2); revision < 20; revision++ {
+			written := len(lea.written)
+			lea.press()
+			if len(lea.written) == written {
+				break
+			}
+			lea.division.Written(lea.ticket, "one", revision)
+		}
+		require.InDelta(t, 9, lea.division.Part("one").Burst, 1)
+	})
+}
--- a/core/division/plan.go
+++ b/core/division/plan.go
@@ -3,9 +3,15 @@
 import (
 	"math"
 	"time"
+
+	"flamingoreach/core/lease"
 )
 
 const (
+	// tableQuiet is the time after the last renewal of the own lease from which no part is given away: the table may be
+	// gone, and a part whose write has no answer stays lowered until it is back. It is a renewal's interval and the
+	// time after which a failed one is tried again.
+	tableQuiet = lease.RenewalInterval + storeRetry
 	// usualWindow is the time over which demand counts as usual, usualInterval the least time between two samples.
 	usualWindow   = 60 * time.Second
 	usualInterval = time.Second
@@ -33,7 +39,7 @@
 	if !ok {
 		giv, ok = ent.drift(vie, now)
 	}
-	if !ok || !div.mayMove(now) {
+	if !ok || now.Sub(div.RenewedAt()) > tableQuiet || !div.mayMove(now) {
 		return
 	}
 	value := ent.row.Clone()
--- a/core/division/view.go
+++ b/core/division/view.go
@@ -20,8 +20,11 @@
 	spareBucket = 0.1
 	// floorShare is the share of the whole that is kept for equal parts without any demand.
 	floorShare = 0.04
-	// floorBurst, in calls, is kept for each data centre as far as equal parts go.
+	// floorBurst, in calls, is kept for each data centre as far as equal parts go, and quietBurst as far as half of an
+	// equal part goes: where calls come at random and at half of the part's rate, one in a hundred thousand finds more
+	// calls than that before it that no token has accrued for.
 	floorBurst = 2
+	quietBurst = 9
 	// minStep is the least change of a part, as a share of an equal part.
 	minStep = 0.1
 )
@@ -93,7 +96,7 @@
 	if vie.total <= 0 {
 		return equal
 	}
-	floor := min(equal, max(floorShare*equal, floorBurst))
+	floor := max(floorShare*equal, min(equal, floorBurst), min(equal/2, quietBurst))
 	return floor + (vie.row.Burst-floor*count)*vie.states[name].demand/vie.total
 }
 
