--- a/core/pick/observation.go
+++ b/core/pick/observation.go
@@ -43,6 +43,8 @@
 	ejections    int
 	ejectedUntil time.Time
 	inFlight     int
+	// quietFrom is when the member last answered, or when the first of the calls under way was sent after that.
+	quietFrom time.Time
 	latency      time.Duration
 	load         float64
 	reported     time.Time
@@ -55,6 +57,8 @@
 	failingAt time.Time
 	// routes holds the latency of each route's calls, which differ in their work.
 	routes map[string]routeLatency
+	// slowest is the latency of the member's slowest route.
+	slowest routeLatency
 }
 
 type levelReport struct {
@@ -122,6 +126,9 @@
 func (obs *observation) sent() {
 	obs.mux.Lock()
 	defer obs.mux.Unlock()
+	if obs.inFlight == 0 {
+		obs.quietFrom = time.Now()
+	}
 	obs.inFlight++
 }
 
@@ -131,6 +138,7 @@
 	obs.inFlight--
 	obs.load = ans.Load
 	obs.reported = time.Now()
+	obs.quietFrom = obs.reported
 	obs.levels[account] = levelReport{level: ans.AdmissionLevel, at: obs.reported}
 	if ans.Refusal != nil {
 		if home.StandsDown(ans.Refusal.Reason) {
--- a/core/pick/room.go
+++ b/core/pick/room.go
@@ -107,6 +107,8 @@
 	// latency is the route's, or 0 if none was seen of late.
 	latency time.Duration
 	load    float64
+	// overdue is the time for which the member has been silent beyond what its calls under way may take.
+	overdue time.Duration
 	// failing is the part of the member's calls that failed of late.
 	failing float64
 	// last says that the member is ejected or takes no calls, which is still better than none.
@@ -132,6 +134,7 @@
 	if latency == 0 {
 		latency = known
 	}
+	latency += pro.overdue
 	over := max(pro.load-roomyLoad, 0) * loadWeight
 	dis := distanceCosts[pro.distance]
 	cost := time.Duration(float64(latency)*dis.factor*(1+over)*(1+pro.failing*failureWeight)) + dis.roundTrip
@@ -152,9 +155,23 @@
 	if known, found := obs.routes[route]; found && now.Sub(known.at) <= latencyLifetime {
 		pro.latency = known.latency
 	}
+	pro.overdue = obs.overdue(now)
 	return pro
 }
 
+// overdue returns the time for which a member with calls under way has been silent beyond the latency of its slowest
+// route. A host that stands still answers nothing; its last load would make it look idle.
+func (obs *observation) overdue(now time.Time) time.Duration {
+	if obs.inFlight == 0 {
+		return 0
+	}
+	usual := assumedLatency
+	if now.Sub(obs.slowest.at) <= latencyLifetime {
+		usual = max(usual, obs.slowest.latency)
+	}
+	return max(0, now.Sub(obs.quietFrom)-usual)
+}
+
 // AnsweredRoute records the latency of a route's call that a member answered.
 func (pic *Picker) AnsweredRoute(id, route string, elapsed time.Duration) {
 	obs := pic.observe(id)
@@ -171,4 +188,7 @@
 	known.latency += time.Duration(float64(elapsed-known.latency) * latencyWeight)
 	known.at = now
 	obs.routes[route] = known
+	if known.latency >= obs.slowest.latency || now.Sub(obs.slowest.at) > latencyLifetime {
+		obs.slowest = known
+	}
 }
--- a/core/pick/room_test.go
+++ b/core/pick/room_test.go
@@ -128,3 +128,34 @@
 		pic.ChooseByRoom(call.Call{Route: routeName}, members, nil)
 	}
 }
+
+func TestCallsLeaveAMemberThatIsSilentWithCallsUnderWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pic := newPicker()
+		for range 5 {
+			answered(pic, "near", 100*time.Millisecond, 0.2)
+			answered(pic, "beside", 100*time.Millisecond, 0.2)
+		}
+		time.Sleep(3 * time.Second)
+		pic.Sent("near")
+		time.Sleep(90 * time.Millisecond)
+		require.Equal(t, "near", choose(t, pic), "a call takes as long as the calls before it")
+		time.Sleep(160 * time.Millisecond)
+		require.Equal(t, "beside", choose(t, pic), "an idle time before the call does not count, the time since does")
+		pic.Sent("near")
+		pic.Answered("near", "", answer.Answer{Load: 0.2}, 150*time.Millisecond)
+		require.Equal(t, "near", choose(t, pic), "it answers again")
+	})
+}
+
+func TestASlowRouteIsNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pic := newPicker()
+		answered(pic, "near", 100*time.Millisecond, 0.2)
+		answered(pic, "beside", 100*time.Millisecond, 0.2)
+		pic.AnsweredRoute("near", "slow", 2*time.Second)
+		pic.Sent("near")
+		time.Sleep(time.Second)
+		require.Equal(t, "near", choose(t, pic), "the call under way may be one of the slow route")
+	})
+}
