--- a/core/pick/observation.go
+++ b/core/pick/observation.go
@@ -45,9 +45,9 @@
 	inFlight     int
 	// quietFrom is when the member last answered, or when the first of the calls under way was sent after that.
 	quietFrom time.Time
-	latency      time.Duration
-	load         float64
-	reported     time.Time
+	latency   time.Duration
+	load      float64
+	reported  time.Time
 	// levels holds the admission level that the gate last told for each client account.
 	levels    map[string]levelReport
 	capFree   bool
