Let new nodes greet the members that rows name, and tell own changes across at once

Cause: after all hosts restart at once, rows are mostly of former nodes. Who speaks for a data centre is its first live member by ID, often a former node until its death is found, so lists of different data centres agreed after 1.2 to 1.4 s only (log lines 'member' and 'member gone' of two hosts), and calls were refused for want of a backend server until then. The rows were read beside the writing of the own one, so two new nodes could miss each other. Ruled out: late announcements of backend servers (most come within 0.2 s of the node's start), the store (configuration in force after 0.1 s).

--- /dev/null
+++ b/core/membership/greeting.go
@@ -0,0 +1,46 @@
+package membership
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"flamingoreach/core/membership/news"
+	"flamingoreach/core/membership/probe"
+)
+
+// greetLimit bounds the members that a new node greets at its start. In small fleets these are all; in large ones
+// gossip and exchanges reach the others.
+const greetLimit = 64
+
+// greet tells members that are known from rows only of this node, and learns who answers at their addresses now: after
+// many nodes have started at once, most rows are those of former nodes. No answer proves nothing.
+func (lis *List) greet(members []*entry, now time.Time) {
+	for count := range min(len(members), greetLimit) {
+		other := count + lis.Random(len(members)-count)
+		members[count], members[other] = members[other], members[count]
+		lis.start(&attempt{target: members[count], sent: now, waiting: 1, deadline: now.Add(directTimeout), greeting: true})
+	}
+}
+
+// tellAcross sends the news of this node to one member of each other data centre, which spreads it there: the next
+// exchange between data centres may be an interval away.
+func (lis *List) tellAcross() {
+	for _, name := range slices.Sorted(maps.Keys(lis.dataCentres)) {
+		live := lis.dataCentres[name].live
+		if name == lis.self.member.DataCentre || len(live) == 0 {
+			continue
+		}
+		target := live[lis.Random(len(live))]
+		lis.counts.ProbesSent++
+		lis.SendProbe(untracked, target.member.Peer, lis.withOwnNews(lis.newProbe(&attempt{target: target})))
+	}
+}
+
+func (lis *List) withOwnNews(pro probe.Probe) probe.Probe {
+	own := func(nws news.News) bool { return nws.Member.ID == lis.self.member.ID }
+	if !slices.ContainsFunc(pro.News, own) {
+		pro.News = append(pro.News, lis.self.news())
+	}
+	return pro
+}
--- a/core/membership/list.go
+++ b/core/membership/list.go
@@ -155,6 +155,7 @@
 		mem.Service = cha.Service
 		mem.Slots = cha.Slots
 	})
+	lis.tellAcross()
 }
 
 // Leave says that this node goes; Tick must run on until Settled.
--- a/core/membership/list_test.go
+++ b/core/membership/list_test.go
@@ -360,3 +360,43 @@
 		require.Equal(t, []string{"old"}, nod.deleted)
 	})
 }
+
+// restarted starts four data centres of four nodes at once, at the addresses of former nodes that died with them.
+func restarted(bu *bus) {
+	var rows []memberrow.Row
+	for number := range 16 {
+		dataCentre := fmt.Sprint("d", number%4)
+		former := bu.add(dataCentre)
+		former.stopped = true
+		rows = append(rows, memberrow.Row{Member: former.list.Self(), Refreshed: time.Now()})
+	}
+	for _, former := range bu.nodes[:16] {
+		nod := bu.addAt(former.list.Self().DataCentre, former.peer)
+		rows = append(rows, memberrow.Row{Member: nod.list.Self(), Refreshed: time.Now()})
+	}
+	for _, nod := range bu.nodes[16:] {
+		nod.list.Joined(rows)
+	}
+}
+
+func TestNodesThatStartAtOnceKnowEachOtherSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bu := newBus(1)
+		restarted(bu)
+		require.LessOrEqual(t, bu.run(5*time.Second, bu.agree), 300*time.Millisecond)
+	})
+}
+
+func TestAChangeIsKnownInOtherDataCentresSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bu := newBus(1)
+		restarted(bu)
+		bu.run(10*time.Second, nil)
+		for _, changed := range bu.nodes[20:24] {
+			changed.list.LocalChanged(change.Change{Event: change.Serve, Service: "quotes", Slots: 90})
+			id := changed.list.Self().ID
+			took := bu.run(5*time.Second, func() bool { return bu.all(id, membership.Serving) })
+			require.LessOrEqual(t, took, 600*time.Millisecond)
+		}
+	})
+}
--- a/core/membership/probing.go
+++ b/core/membership/probing.go
@@ -32,6 +32,8 @@
 	// waiting is the number of messages that may still be acknowledged.
 	waiting  int
 	indirect bool
+	// greeting says that the target is known from its row only.
+	greeting bool
 	deadline time.Time
 }
 
@@ -98,7 +100,11 @@
 	lis.number++
 	lis.attempts[lis.number] = att
 	lis.counts.ProbesSent++
-	lis.SendProbe(lis.number, att.target.member.Peer, lis.newProbe(att))
+	pro := lis.newProbe(att)
+	if att.greeting {
+		pro = lis.withOwnNews(pro)
+	}
+	lis.SendProbe(lis.number, att.target.member.Peer, pro)
 }
 
 func (lis *List) newProbe(att *attempt) probe.Probe {
@@ -113,10 +119,11 @@
 func (lis *List) ProbeReceived(pro probe.Probe) ack.Ack {
 	lis.begin()
 	lis.counts.ProbesReceived++
+	_, known := lis.entries[pro.Sender]
 	lis.hearAll(pro.News)
 	lis.compare(pro.Digest, pro.Peer)
 	reply := ack.Ack{Sender: lis.self.member.ID, Digest: lis.digest, News: lis.takeNews(lis.entries[pro.Sender])}
-	if slices.ContainsFunc(pro.News, lis.doubtsSelf) {
+	if !known || slices.ContainsFunc(pro.News, lis.doubtsSelf) {
 		reply.News = append(reply.News, lis.self.news())
 	}
 	return reply
@@ -165,7 +172,7 @@
 
 // probeTimedOut repeats a failed probe directly and through others, and suspects the target when that fails too.
 func (lis *List) probeTimedOut(number uint64, att *attempt, now time.Time) {
-	if !att.target.isLive() {
+	if !att.target.isLive() || att.greeting {
 		delete(lis.attempts, number)
 		return
 	}
--- a/core/membership/rows.go
+++ b/core/membership/rows.go
@@ -21,6 +21,7 @@
 // Joined takes in the rows that this node read from the table, at its start or later.
 func (lis *List) Joined(rows []memberrow.Row) {
 	now := lis.begin()
+	var found []*entry
 	for _, row := range rows {
 		age := now.Sub(row.Refreshed)
 		switch {
@@ -30,12 +31,17 @@
 			lis.counts.RowsDeleted++
 			lis.DeleteRow(row.Member.ID)
 		case age < rowLifetime:
+			_, known := lis.entries[row.Member.ID]
 			lis.hear(news.News{Member: row.Member, Liveness: alive})
+			if ent := lis.entries[row.Member.ID]; !known && ent != nil {
+				found = append(found, ent)
+			}
 		case age >= rowWasteTime && row.Member.DataCentre == lis.self.member.DataCentre:
 			lis.counts.RowsDeleted++
 			lis.DeleteRow(row.Member.ID)
 		}
 	}
+	lis.greet(found, now)
 }
 
 // outlived reports whether a row is that of a dead member and this node's to delete.
--- a/io/memberlink/memberlink.go
+++ b/io/memberlink/memberlink.go
@@ -39,6 +39,8 @@
 	// AskTime bounds a message to a node, StoreTime a request to the table.
 	AskTime, StoreTime time.Duration
 
+	// written says that the own row's first writing has ended, well or not.
+	written bool
 	// read is when the last reading began, failed whether it failed.
 	read   time.Time
 	failed bool
@@ -66,10 +68,15 @@
 		})
 	}
 	lis.WriteRow = func(row memberrow.Row) {
-		lin.write("membership.rowWritten", func(ctx context.Context) error { return lin.WriteRow(ctx, row) }, lis.RowFailed)
+		lin.write("membership.rowWritten", func(ctx context.Context) error { return lin.WriteRow(ctx, row) }, func(err error) {
+			lin.written = true
+			if err != nil {
+				lis.RowFailed()
+			}
+		})
 	}
 	lis.DeleteRow = func(id string) {
-		lin.write("membership.rowDeleted", func(ctx context.Context) error { return lin.DeleteRow(ctx, id) }, func() {})
+		lin.write("membership.rowDeleted", func(ctx context.Context) error { return lin.DeleteRow(ctx, id) }, func(error) {})
 	}
 	lin.Work.Control.AddTicker(lis.Tick)
 	lin.Work.Control.AddTicker(lin.tick)
@@ -78,14 +85,10 @@
 	})
 }
 
-func (lin *Link) write(name string, write func(ctx context.Context) error, failed func()) {
+func (lin *Link) write(name string, write func(ctx context.Context) error, done func(err error)) {
 	work.Start(lin.Work, name, lin.StoreTime, func(ctx context.Context) (struct{}, error) {
 		return struct{}{}, write(ctx)
-	}, func(_ struct{}, err error) {
-		if err != nil {
-			failed()
-		}
-	})
+	}, func(_ struct{}, err error) { done(err) })
 }
 
 func (lin *Link) joinProbes() {
@@ -117,7 +120,8 @@
 	})
 }
 
-// tick reads the rows once at the start, and again as often as the seam says.
+// tick reads the rows once at the start, and again as often as the seam says. The first reading follows the writing of
+// the own row: of two nodes that start at once, one at least finds the other's row then.
 func (lin *Link) tick() {
 	if !lin.due() {
 		return
@@ -139,7 +143,7 @@
 	since := time.Since(lin.read)
 	switch {
 	case lin.read.IsZero():
-		return true
+		return lin.written
 	case lin.failed:
 		return since >= rowsRetryTime
 	case lin.Reread == nil:
--- /dev/null
+++ b/io/memberlink/memberlink_test.go
@@ -0,0 +1,56 @@
+package memberlink_test
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"flamingoreach/core/control"
+	"flamingoreach/core/member"
+	"flamingoreach/core/membership"
+	"flamingoreach/core/membership/memberrow"
+	"flamingoreach/io/memberlink"
+	"flamingoreach/io/peer"
+	"flamingoreach/io/tasks"
+	"flamingoreach/io/work"
+)
+
+// Of two nodes that start at once, at least the one whose row comes second must find the other's.
+func TestTheRowsAreReadOnceTheOwnRowIsWritten(t *testing.T) {
+	for name, outcome := range map[string]error{"written": nil, "failed": io.ErrUnexpectedEOF} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var steps []string
+				wor := &work.Work{Control: control.New(16), Tasks: tasks.New(16), Log: log.New(io.Discard)}
+				link := &memberlink.Link{
+					List:   membership.New(member.Member{ID: "a", Peer: netip.MustParseAddrPort("10.0.0.1:1")}, nil),
+					Work:   wor,
+					Client: peer.NewPooledClient(), Server: peer.NewServer(),
+					WriteRow: func(context.Context, memberrow.Row) error {
+						time.Sleep(time.Second)
+						steps = append(steps, "write ended")
+						return outcome
+					},
+					ReadRows: func(context.Context) ([]memberrow.Row, error) {
+						steps = append(steps, "read")
+						return nil, nil
+					},
+					AskTime: time.Second, StoreTime: 2 * time.Second,
+				}
+				link.Join()
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				go func() { _ = wor.Tasks.Run(ctx) }()
+				_ = wor.Control.Run(ctx)
+				synctest.Wait()
+				require.Equal(t, []string{"write ended", "read"}, steps)
+			})
+		})
+	}
+}
