--- a/io/hostnode/calls.go
+++ b/io/hostnode/calls.go
@@ -87,8 +87,10 @@
 	}
 	if cal.KeyID == "" && len(nod.view.Load().Configuration.Accounts) > 0 {
 		deepen(&cal)
+	} else {
+		// A request may make many deeper calls, but the bound on repeats follows what callers ask.
+		nod.repeats.Earn(cal.Service)
 	}
-	nod.repeats.Earn(cal.Service)
 	ctx, cancel := context.WithDeadline(ctx, cal.Deadline.Add(answerGrace))
 	defer cancel()
 	ans, reply, attempts := nod.runAnywhere(ctx, cal, alw, msg)
--- a/io/hostnode/node_test.go
+++ b/io/hostnode/node_test.go
@@ -148,6 +148,31 @@
 	require.Equal(t, int64(1), hosts[2].runs.Load()+hosts[3].runs.Load())
 }
 
+// The bound on repeats follows what callers ask; a request may make many deeper calls.
+func TestDeeperCallsEarnNoRepeats(t *testing.T) {
+	const calls = 800
+	cfg := testConfiguration(1)
+	open := cfg.Routes[0]
+	open.Name, open.PathPrefix, open.Open = "open", "/open/", true
+	cfg.Routes = append(cfg.Routes, open)
+	hosts := startFleet(t, newStore(cfg), "confirms", "quotes", "quotes")
+	for _, hos := range hosts[1:] {
+		hos.runBy(func(_ context.Context, cal call.Call) (answer.Answer, message.Message) {
+			return answer.Answer{CallID: cal.ID, Refusal: refusal.Unknown(reason.AnswerTruncated, "test")}, message.Message{}
+		})
+	}
+	ran := func() int64 { return hosts[1].runs.Load() + hosts[2].runs.Load() }
+	for number := range calls {
+		hosts[0].ask(t.Context(), fmt.Sprint("deeper-", number), fmt.Sprint("/open/", number), "")
+	}
+	slack := int64(hosts[0].settings.Bounds.RepeatSlack) / int64(len(hosts))
+	require.LessOrEqual(t, ran()-calls, slack, "deeper calls")
+	for number := range calls {
+		hosts[0].ask(t.Context(), fmt.Sprint("callers-", number), fmt.Sprint("/quotes/", number), bearer)
+	}
+	require.Greater(t, ran()-2*calls, slack, "calls of callers")
+}
+
 func TestAFailureOfABackendServerIsNoCrash(t *testing.T) {
 	hosts := startFleet(t, newStore(testConfiguration(1)), "confirms", "quotes")
 	hosts[1].runBy(func(_ context.Context, cal call.Call) (answer.Answer, message.Message) {
