Greet half as many members at the start

A node has 64 requests of its control thread under way at most, and a greeting to a host that is off holds one until its time is over; with 64 greetings a new node of a grown fleet could ask nobody for tokens meanwhile. TestNodesThatStartAtOnceKnowEachOtherSoon passes as before.

--- a/core/membership/greeting.go
+++ b/core/membership/greeting.go
@@ -9,9 +9,10 @@
 	"flamingoreach/core/membership/probe"
 )
 
-// greetLimit bounds the members that a new node greets at its start. In small fleets these are all; in large ones
-// gossip and exchanges reach the others.
-const greetLimit = 64
+// greetLimit bounds the members that a new node greets at its start: half of the requests that a node has under way at
+// a time, as a greeting may go unanswered. In small fleets these are all; in large ones gossip and exchanges reach the
+// others.
+const greetLimit = 32
 
 // greet tells members that are known from rows only of this node, and learns who answers at their addresses now: after
 // many nodes have started at once, most rows are those of former nodes. No answer proves nothing.
