--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -14,6 +14,8 @@
 const (
 	accountName = "bank-a"
 	hostName    = "soak.example"
+	// ampleRate is more than all callers of the first account ask.
+	ampleRate = 5000
 )
 
 // Fleet is the processes and stand-ins of one seed.
@@ -79,7 +81,9 @@
 	for _, valid := range fle.keys {
 		keys = append(keys, valid.text)
 	}
-	fle.store.PutConfiguration(standin.Configuration(fle.version, hostName, accountName, keys))
+	fle.store.PutConfiguration(standin.Configuration(fle.version, hostName,
+		standin.Account{Name: accountName, Keys: keys, Rate: ampleRate, Burst: ampleRate},
+		standin.Account{Name: greedyName, Keys: []string{greedyKey}, Rate: greedyRate, Burst: greedyRate}))
 }
 
 // changeKeys withdraws a key and grants another one.
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -32,6 +33,7 @@
 	mut        sync.Mutex
 	runs       map[string]int
 	told       map[string]answerTold
+	greedyRuns []time.Time
 	violations []Violation
 	served     int
 	asked      int
@@ -41,6 +43,8 @@
 type answerTold struct {
 	status     int
 	idempotent bool
+	// greedy says that the account asks for more than its rate, so that refusals are right.
+	greedy bool
 }
 
 func newLedger() *ledger {
@@ -61,20 +65,26 @@
 	if see.Credential != "" {
 		led.violate("no key", "%s came with a key", see.ID)
 	}
-	if see.Account != accountName {
+	greedy := strings.HasPrefix(see.ID, greedyName)
+	if greedy != (see.Account == greedyName) || !greedy && see.Account != accountName {
 		led.violate("account", "%s came for %q", see.ID, see.Account)
 	}
 	led.mut.Lock()
 	defer led.mut.Unlock()
 	led.runs[see.ID]++
+	if greedy {
+		led.greedyRuns = append(led.greedyRuns, time.Now())
+	}
 }
 
 func (led *ledger) answered(id string, told answerTold) {
 	led.mut.Lock()
 	defer led.mut.Unlock()
-	led.asked++
-	if told.status == statusOK {
-		led.served++
+	if !told.greedy {
+		led.asked++
+		if told.status == statusOK {
+			led.served++
+		}
 	}
 	led.told[id] = told
 }
@@ -103,5 +113,6 @@
 			led.violations = append(led.violations, Violation{"own answer", id + " was served and did not run"})
 		}
 	}
+	led.checkRate()
 	return led.violations
 }
