--- a/cmd/flamingoreach-host/command/benchmark_test.go
+++ b/cmd/flamingoreach-host/command/benchmark_test.go
@@ -39,7 +39,7 @@
 func BenchmarkCallAcrossHosts(b *testing.B) {
 	ctx, cancel := context.WithCancel(b.Context())
 	sto := standin.NewStore()
-	sto.PutConfiguration(standin.Configuration(1, benchmarkHost, standin.Account{Name: "bank-a", Keys: []string{benchmarkKey}, Rate: 5000, Burst: 5000}))
+	sto.PutConfiguration(standin.Configuration(1, benchmarkHost, "quotes", standin.Account{Name: "bank-a", Keys: []string{benchmarkKey}, Rate: 5000, Burst: 5000}))
 	door := httptest.NewServer(sto.Door())
 	defer door.Close()
 	store := netip.MustParseAddrPort(strings.TrimPrefix(door.URL, "http://"))
@@ -76,7 +76,7 @@
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			ctx, cancel := context.WithCancel(b.Context())
 			sto := standin.NewStore()
-			sto.PutConfiguration(standin.Configuration(1, benchmarkHost, standin.Account{Name: "bank-a", Keys: []string{benchmarkKey}, Rate: 5000, Burst: 5000}))
+			sto.PutConfiguration(standin.Configuration(1, benchmarkHost, "quotes", standin.Account{Name: "bank-a", Keys: []string{benchmarkKey}, Rate: 5000, Burst: 5000}))
 			door := httptest.NewServer(sto.Door())
 			defer door.Close()
 			for number := range size {
--- a/soak/client.go
+++ b/soak/client.go
@@ -14,9 +14,12 @@
 	// configurationTime is the time after which a version must be in force at a host that nothing befell.
 	configurationTime = 3 * time.Second
 	thinkTime         = 20 * time.Millisecond
-	// repeatableOf and withdrawnOf are the numbers of requests of which one must not run twice, or shows a withdrawn key.
+	// repeatableOf, withdrawnOf and movingOf are the numbers of requests of which one must not run twice, shows a
+	// withdrawn key, or takes the route that moves.
 	repeatableOf = 3
 	withdrawnOf  = 17
+	movingOf     = 4
+	movingPath   = "/moving/"
 )
 
 // client sends requests to one node on connections that it keeps until the process is gone.
@@ -37,11 +40,9 @@
 
 func (cli *client) send(ctx context.Context, number int) {
 	id := fmt.Sprintf("%s-%d", cli.name, number)
-	idempotent := number%repeatableOf != 0
-	method, path := http.MethodGet, "/quotes/"
-	if !idempotent {
-		method, path = http.MethodPost, "/confirms/"
-	}
+	method, path := kindOf(number)
+	idempotent, moving := method == http.MethodGet, path == movingPath
+	service, moved := cli.fleet.movingRoute()
 	shown := cli.fleet.key(number)
 	started := time.Now()
 	rep, err := cli.caller.Send(ctx, standin.Request{
@@ -52,6 +53,9 @@
 		return
 	}
 	cli.fleet.ledger.answered(id, answerTold{status: rep.Status, idempotent: idempotent})
+	if moving && rep.Status == statusOK {
+		cli.checkRoute(id, service, moved, started)
+	}
 	switch {
 	case rep.Status == statusOK && (rep.Body != id || !rep.Signed):
 		cli.fleet.ledger.violate("own answer", "%s got %q", id, rep.Body)
@@ -63,3 +67,22 @@
 		cli.fleet.ledger.violate("no wrongful refusal", "%s got %d", id, rep.Status)
 	}
 }
+
+// kindOf returns the method and the path of a request by its number; those that are no GET must not run twice.
+func kindOf(number int) (method, path string) {
+	switch {
+	case number%repeatableOf == 0:
+		return http.MethodPost, "/confirms/"
+	case number%movingOf == 1:
+		return http.MethodGet, movingPath
+	}
+	return http.MethodGet, "/quotes/"
+}
+
+// checkRoute compares where a request ran with the version that surely was in force when it was sent, and still is.
+func (cli *client) checkRoute(id, service string, moved, started time.Time) {
+	_, since := cli.fleet.movingRoute()
+	if ran := cli.fleet.ledger.service(id); ran != service && since.Equal(moved) && surely(moved, started, cli.host) {
+		cli.fleet.ledger.violate("route", "%s ran at %s %s after its route was moved to %s", id, ran, started.Sub(moved), service)
+	}
+}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -83,7 +83,7 @@
 			hos.harm()
 		}},
 		{"history", func(_ context.Context, fle *Fleet, _ *host, _ *rand.Rand) { fle.store.Forget() }},
-		{"keys", func(_ context.Context, fle *Fleet, _ *host, _ *rand.Rand) { fle.changeKeys() }},
+		{"keys", func(_ context.Context, fle *Fleet, _ *host, _ *rand.Rand) { fle.changeVersion() }},
 		{"lostAnswers", func(ctx context.Context, _ *Fleet, hos *host, ran *rand.Rand) {
 			hos.backend.LoseAnswers(30)
 			sleep(ctx, span(ran, 2*time.Second))
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -29,6 +29,9 @@
 
 	mut     sync.Mutex
 	version uint64
+	// movingTo is the service of the route that moves, movedAt when the version that moved it was written.
+	movingTo string
+	movedAt  time.Time
 	// keys are valid, former ones were withdrawn.
 	keys   []key
 	former []key
@@ -49,7 +52,7 @@
 // newFleet starts node processes; number sets the fleet's addresses apart from those of others on this machine.
 func newFleet(ctx context.Context, program, folder string, number, size int) (*Fleet, error) {
 	fle := &Fleet{
-		number: number, folder: folder, program: program, store: standin.NewStore(), ledger: newLedger(),
+		number: number, folder: folder, program: program, store: standin.NewStore(), ledger: newLedger(), movingTo: "quotes", movedAt: time.Now(),
 		keys: []key{{text: "key-one-of-bank-a", granted: time.Now()}, {text: "key-two-of-bank-a", granted: time.Now()}},
 	}
 	fle.configure()
@@ -81,19 +84,25 @@
 	for _, valid := range fle.keys {
 		keys = append(keys, valid.text)
 	}
-	fle.store.PutConfiguration(standin.Configuration(fle.version, hostName,
+	fle.store.PutConfiguration(standin.Configuration(fle.version, hostName, fle.movingTo,
 		standin.Account{Name: accountName, Keys: keys, Rate: ampleRate, Burst: ampleRate},
 		standin.Account{Name: greedyName, Keys: []string{greedyKey}, Rate: greedyRate, Burst: greedyRate}))
 }
 
-// changeKeys withdraws a key and grants another one.
-func (fle *Fleet) changeKeys() {
+// changeVersion withdraws a key, grants another one and moves a route to the other service.
+func (fle *Fleet) changeVersion() {
 	fle.mut.Lock()
 	defer fle.mut.Unlock()
 	gone := fle.keys[0]
 	fle.keys = append(fle.keys[1:], key{text: fmt.Sprintf("key-of-version-%d", fle.version)})
+	if fle.movingTo == "quotes" {
+		fle.movingTo = "confirms"
+	} else {
+		fle.movingTo = "quotes"
+	}
 	fle.configure()
 	now := time.Now()
+	fle.movedAt = now
 	fle.keys[len(fle.keys)-1].granted = now
 	gone.withdrawn = now
 	fle.former = append(fle.former, gone)
@@ -103,12 +112,19 @@
 func (fle *Fleet) key(number int) key {
 	fle.mut.Lock()
 	defer fle.mut.Unlock()
-	if number%17 == 0 && len(fle.former) > 0 {
+	if number%withdrawnOf == 0 && len(fle.former) > 0 {
 		return fle.former[number%len(fle.former)]
 	}
 	return fle.keys[0]
 }
 
+// movingRoute returns the service of the route that moves, and when it was moved there.
+func (fle *Fleet) movingRoute() (service string, since time.Time) {
+	fle.mut.Lock()
+	defer fle.mut.Unlock()
+	return fle.movingTo, fle.movedAt
+}
+
 // isValid reports whether a key has not been withdrawn meanwhile.
 func (fle *Fleet) isValid(shown key) bool {
 	fle.mut.Lock()
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -30,8 +30,10 @@
 
 // ledger holds what backend servers ran and what callers were told.
 type ledger struct {
-	mut        sync.Mutex
-	runs       map[string]int
+	mut  sync.Mutex
+	runs map[string]int
+	// services holds where a request ran last.
+	services   map[string]string
 	told       map[string]answerTold
 	greedyRuns []time.Time
 	violations []Violation
@@ -48,7 +50,7 @@
 }
 
 func newLedger() *ledger {
-	return &ledger{runs: map[string]int{}, told: map[string]answerTold{}}
+	return &ledger{runs: map[string]int{}, services: map[string]string{}, told: map[string]answerTold{}}
 }
 
 func (led *ledger) violate(promise, format string, args ...any) {
@@ -72,6 +74,7 @@
 	led.mut.Lock()
 	defer led.mut.Unlock()
 	led.runs[see.ID]++
+	led.services[see.ID] = see.Service
 	if greedy {
 		led.greedyRuns = append(led.greedyRuns, time.Now())
 	}
@@ -89,6 +92,13 @@
 	led.told[id] = told
 }
 
+// service returns the service at which a request ran last.
+func (led *ledger) service(id string) string {
+	led.mut.Lock()
+	defer led.mut.Unlock()
+	return led.services[id]
+}
+
 // counts returns the requests asked and served since the last call.
 func (led *ledger) counts() (asked, served int) {
 	led.mut.Lock()
