--- a/measure/fairshare/fairshare.go
+++ b/measure/fairshare/fairshare.go
@@ -1,5 +1,7 @@
 package fairshare
 
+import "math"
+
 // Divide returns the weighted max-min fair shares of the possible: nobody gets more than it wants, and what one
 // leaves goes to the others by their parts.
 func Divide(possible float64, wanted []int, part func(account int) float64) []float64 {
@@ -21,3 +23,13 @@
 	}
 	return due
 }
+
+// Worst compares what accounts got with their fair shares of the possible, and returns the least part of its share that
+// one got.
+func Worst(possible float64, wanted, got []int, part func(account int) float64) float64 {
+	worst := math.Inf(1)
+	for account, due := range Divide(possible, wanted, part) {
+		worst = min(worst, float64(got[account])/due)
+	}
+	return worst
+}
--- a/measure/gaterig/report.go
+++ b/measure/gaterig/report.go
@@ -4,9 +4,8 @@
 	"math"
 	"time"
 
-	"flamingoreach/measure/fairshare"
-
 	"flamingoreach/core/gatestats"
+	"flamingoreach/measure/fairshare"
 )
 
 const (
@@ -86,7 +85,7 @@
 	return Report{
 		Goodput:      rounded(tal.goodput(cas)),
 		TopServed:    rounded(float64(tal.servedTop) / float64(max(tal.askedTop, 1))),
-		WorstAccount: rounded(tal.worst(cas)),
+		WorstAccount: rounded(fairshare.Worst(tal.possible(cas), tal.wanted, tal.accounts, tal.part)),
 		Recovery:     tal.recovery(sce),
 		Executed:     sta.Executed,
 		Requests:     requests,
@@ -113,18 +112,7 @@
 	return float64(served) / tal.possible(cas)
 }
 
-// worst compares what accounts got with their weighted max-min fair shares of the possible.
-func (tal *tally) worst(cas Case) float64 {
-	worst := math.Inf(1)
-	for account, due := range tal.fairShares(tal.possible(cas)) {
-		worst = min(worst, float64(tal.accounts[account])/due)
-	}
-	return worst
-}
-
-func (tal *tally) fairShares(possible float64) []float64 {
-	return fairshare.Divide(possible, tal.wanted, func(account int) float64 { return tal.sce.Accounts[account].Part })
-}
+func (tal *tally) part(account int) float64 { return tal.sce.Accounts[account].Part }
 
 // recovery returns the seconds after the trigger from which steadySeconds in a row are recovered.
 func (tal *tally) recovery(sce Scenario) int {
--- a/measure/ingressrig/report.go
+++ b/measure/ingressrig/report.go
@@ -4,9 +4,8 @@
 	"math"
 	"time"
 
-	"flamingoreach/measure/fairshare"
-
 	"flamingoreach/core/reason"
+	"flamingoreach/measure/fairshare"
 )
 
 const (
@@ -120,7 +119,7 @@
 		}
 	}
 	rep.Goodput = rounded(float64(served) / best)
-	rep.WorstAccount = rounded(tal.worst(best))
+	rep.WorstAccount = rounded(fairshare.Worst(best, tal.wanted, tal.accounts, tal.part))
 	rep.UnservedWithin = math.Round(tal.unservedWithin(cas) * 1e6)
 	rep.MeanExecutions = rounded(float64(tal.executions) / float64(max(rep.Requests, 1)))
 	return rep
@@ -138,18 +137,7 @@
 	return missed / max(within, 1)
 }
 
-// worst compares what accounts got with their weighted max-min fair shares of the possible.
-func (tal *tally) worst(possible float64) float64 {
-	worst := math.Inf(1)
-	for account, due := range tal.fairShares(possible) {
-		worst = min(worst, float64(tal.accounts[account])/due)
-	}
-	return worst
-}
-
-func (tal *tally) fairShares(possible float64) []float64 {
-	return fairshare.Divide(possible, tal.wanted, func(account int) float64 { return tal.sce.Accounts[account].Part })
-}
+func (tal *tally) part(account int) float64 { return tal.sce.Accounts[account].Part }
 
 // recovery returns the seconds after the trigger from which steadySeconds in a row are recovered.
 func (tal *tally) recovery() int {
