--- a/core/membership/list_test.go
+++ b/core/membership/list_test.go
@@ -400,3 +400,16 @@
 		}
 	})
 }
+
+func TestARowThatNamesNobodyIsNotGreeted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bu := newBus(1)
+		nod := bu.add("d0")
+		nod.list.Joined([]memberrow.Row{
+			{Refreshed: time.Now()},
+			{Member: member.Member{ID: "without an address"}, Refreshed: time.Now()},
+		})
+		require.Zero(t, nod.list.Counts().ProbesSent)
+		require.Len(t, nod.list.Members(), 1)
+	})
+}
