Run test processes in groups of their own

Ruled out: the product (no SIGHUP is sent or asked for there), load (four runs in a row passed beside none). Before: fails each time that the launching shell ends while the node is stopped (1 of 1, the same message). After: passes the same way.

--- a/proofs/process/process.go
+++ b/proofs/process/process.go
@@ -38,6 +38,9 @@
 		return nil, eris.Wrapf(err, "start %s", file)
 	}
 	pro.cmd.Stdout, pro.cmd.Stderr = out, errs
+	// In the group of a test that was started in the background, a process that stands still gets SIGHUP from the kernel
+	// once the shell that started the test ends.
+	pro.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := pro.cmd.Start(); err != nil {
 		return nil, eris.Wrapf(err, "start %s", file)
 	}
