Build a probe that introduces its sender, and send untracked probes, in one place each

The case for a greeting stood in the sending of a tracked probe and again where own changes go across. Messages are the same; the tests of core/membership pass.

--- a/core/membership/greeting.go
+++ b/core/membership/greeting.go
@@ -4,9 +4,6 @@
 	"maps"
 	"slices"
 	"time"
-
-	"flamingoreach/core/membership/news"
-	"flamingoreach/core/membership/probe"
 )
 
 // greetLimit bounds the members that a new node greets at its start: half of the requests that a node has under way at
@@ -32,16 +29,6 @@
 		if name == lis.self.member.DataCentre || len(live) == 0 {
 			continue
 		}
-		target := live[lis.Random(len(live))]
-		lis.counts.ProbesSent++
-		lis.SendProbe(untracked, target.member.Peer, lis.withOwnNews(lis.newProbe(&attempt{target: target})))
-	}
-}
-
-func (lis *List) withOwnNews(pro probe.Probe) probe.Probe {
-	own := func(nws news.News) bool { return nws.Member.ID == lis.self.member.ID }
-	if !slices.ContainsFunc(pro.News, own) {
-		pro.News = append(pro.News, lis.self.news())
+		lis.sendUntracked(&attempt{target: live[lis.Random(len(live))], greeting: true})
 	}
-	return pro
 }
--- a/core/membership/probing.go
+++ b/core/membership/probing.go
@@ -32,7 +32,7 @@
 	// waiting is the number of messages that may still be acknowledged.
 	waiting  int
 	indirect bool
-	// greeting says that the target is known from its row only.
+	// greeting says that the probe tells the target of this node, and that its failure means nothing.
 	greeting bool
 	deadline time.Time
 }
@@ -74,9 +74,11 @@
 }
 
 // challenge lets a member know what this list believes of it, so that it can refute in its acknowledgement.
-func (lis *List) challenge(ent *entry) {
+func (lis *List) challenge(ent *entry) { lis.sendUntracked(&attempt{target: ent}) }
+
+func (lis *List) sendUntracked(att *attempt) {
 	lis.counts.ProbesSent++
-	lis.SendProbe(untracked, ent.member.Peer, lis.newProbe(&attempt{target: ent}))
+	lis.SendProbe(untracked, att.target.member.Peer, lis.newProbe(att))
 }
 
 // verify probes a member that this list takes to be alive and others take to be dead.
@@ -100,19 +102,19 @@
 	lis.number++
 	lis.attempts[lis.number] = att
 	lis.counts.ProbesSent++
-	pro := lis.newProbe(att)
-	if att.greeting {
-		pro = lis.withOwnNews(pro)
-	}
-	lis.SendProbe(lis.number, att.target.member.Peer, pro)
+	lis.SendProbe(lis.number, att.target.member.Peer, lis.newProbe(att))
 }
 
 func (lis *List) newProbe(att *attempt) probe.Probe {
 	own := lis.self.member
-	return probe.Probe{
+	pro := probe.Probe{
 		Sender: own.ID, Peer: own.Peer, Target: att.target.member.ID,
 		Digest: lis.digest, News: append(lis.takeNews(att.target), att.doubt...),
 	}
+	if att.greeting && !slices.ContainsFunc(pro.News, func(nws news.News) bool { return nws.Member.ID == own.ID }) {
+		pro.News = append(pro.News, lis.self.news())
+	}
+	return pro
 }
 
 // ProbeReceived takes in a probe and returns its acknowledgement.
