Read processor time in one place

The control thread, the collection of garbage, the capacity measure and a benchmark each read it from the system. What each does where that fails stays as it was.

--- a/cmd/flamingoreach-host/command/benchmark_test.go
+++ b/cmd/flamingoreach-host/command/benchmark_test.go
@@ -15,8 +15,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"golang.org/x/sys/unix"
 
+	"flamingoreach/core/processortime"
 	"flamingoreach/io/boundedwriter"
 	"flamingoreach/platform"
 	"flamingoreach/platform/standin"
@@ -97,9 +97,9 @@
 
 func processorTime(b *testing.B) time.Duration {
 	b.Helper()
-	var usage unix.Rusage
-	require.NoError(b, unix.Getrusage(unix.RUSAGE_SELF, &usage))
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	used, err := processortime.OfProcess()
+	require.NoError(b, err)
+	return used
 }
 
 // startHost runs a node and a backend server that answers at once, and returns the address for callers.
--- a/core/control/thread.go
+++ b/core/control/thread.go
@@ -6,9 +6,8 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"flamingoreach/core/event"
+	"flamingoreach/core/processortime"
 )
 
 // TickInterval is the time between two calls of each ticker.
@@ -106,9 +105,8 @@
 	if !thr.Locked {
 		return
 	}
-	var usage unix.Rusage
-	if unix.Getrusage(unix.RUSAGE_THREAD, &usage) == nil {
-		thr.cpu.Store(usage.Utime.Nano() + usage.Stime.Nano())
+	if used, err := processortime.OfThread(); err == nil {
+		thr.cpu.Store(int64(used))
 	}
 }
 
--- a/io/hostnode/runtime.go
+++ b/io/hostnode/runtime.go
@@ -4,7 +4,7 @@
 	"runtime/debug"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"flamingoreach/core/processortime"
 )
 
 // memoryPart is the part of the memory limit that the runtime aims to stay below; the rest is for stacks, for bytes that
@@ -27,11 +27,11 @@
 
 // processorTime returns what this process has used so far; where the system does not tell, it returns what it knew.
 func (nod *Node) processorTime() time.Duration {
-	var usage unix.Rusage
-	if err := unix.Getrusage(unix.RUSAGE_SELF, &usage); err != nil {
+	used, err := processortime.OfProcess()
+	if err != nil {
 		nod.log.Warn("processor time not read", "error", err)
 		return nod.processorUsed
 	}
-	nod.processorUsed = time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-	return nod.processorUsed
+	nod.processorUsed = used
+	return used
 }
--- a/measure/capacity/measure.go
+++ b/measure/capacity/measure.go
@@ -5,9 +5,8 @@
 	"runtime"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"flamingoreach/core/controlusage"
+	"flamingoreach/core/processortime"
 	"flamingoreach/io/localfleet"
 	"flamingoreach/measure/capacity/calls"
 	"flamingoreach/measure/capacity/sample"
@@ -143,9 +142,9 @@
 }
 
 func processorTime() time.Duration {
-	var usage unix.Rusage
-	if unix.Getrusage(unix.RUSAGE_SELF, &usage) != nil {
+	used, err := processortime.OfProcess()
+	if err != nil {
 		return 0
 	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	return used
 }
