--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -76,7 +76,7 @@
 func NewPooledClient() *Client {
 	cli := &Client{scheme: "http://"}
 	cli.codec = newCodec(&cli.controlBytes)
-	pools := &pooled{pools: map[string]*nodePool{}}
+	pools := &pooled{pools: map[netip.AddrPort]*http1.Pool{}}
 	cli.http, cli.sweep, cli.drop = pools, pools.sweep, pools.drop
 	return cli
 }
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -51,22 +51,16 @@
 // client has for each connection.
 type pooled struct {
 	mut   sync.Mutex
-	pools map[string]*nodePool
-}
-
-type nodePool struct {
-	*http1.Pool
-
-	address netip.AddrPort
+	pools map[netip.AddrPort]*http1.Pool
 }
 
 // Do sends a request and reads the whole answer; its error is an *http1.Failure.
 func (poo *pooled) Do(req *http.Request) (*http.Response, error) {
-	pool, err := poo.pool(req.URL.Host)
+	address, err := netip.ParseAddrPort(req.URL.Host)
 	if err != nil {
-		return nil, &http1.Failure{Stage: http1.Connecting, Cause: err}
+		return nil, &http1.Failure{Stage: http1.Connecting, Cause: eris.Wrap(err, "find node")}
 	}
-	res, err := pool.Exchange(req.Context(), pool.address, req, http1.Rules{BodyBytes: maxMessageBytes})
+	res, err := poo.pool(address).Exchange(req.Context(), address, req, http1.Rules{BodyBytes: maxMessageBytes})
 	if err != nil {
 		return nil, err
 	}
@@ -76,28 +70,24 @@
 	}, nil
 }
 
-// pool returns the connections to a node; it fails if the host is no address.
-func (poo *pooled) pool(host string) (*nodePool, error) {
+// pool returns the connections to a node.
+func (poo *pooled) pool(address netip.AddrPort) *http1.Pool {
 	poo.mut.Lock()
 	defer poo.mut.Unlock()
-	if known := poo.pools[host]; known != nil {
-		return known, nil
-	}
-	address, err := netip.ParseAddrPort(host)
-	if err != nil {
-		return nil, eris.Wrap(err, "find node")
+	pool := poo.pools[address]
+	if pool == nil {
+		pool = http1.NewPool(pooledDialTimeout)
+		pool.MaxIdle = pooledIdle
+		poo.pools[address] = pool
 	}
-	made := &nodePool{Pool: http1.NewPool(pooledDialTimeout), address: address}
-	made.MaxIdle = pooledIdle
-	poo.pools[host] = made
-	return made, nil
+	return pool
 }
 
 func (poo *pooled) forEach(act func(pool *http1.Pool)) {
 	poo.mut.Lock()
 	defer poo.mut.Unlock()
 	for _, pool := range poo.pools {
-		act(pool.Pool)
+		act(pool)
 	}
 }
 
