--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -88,8 +88,8 @@
 	return broken
 }
 
-// runSeed returns what a run found, and keeps the logs of one that broke a promise.
-func runSeed(ctx context.Context, cmd *cli.Command, seed uint64, number int) (text string, kept bool) {
+// runSeed returns what a run found and whether it broke no promise; it keeps the logs of one that did.
+func runSeed(ctx context.Context, cmd *cli.Command, seed uint64, number int) (text string, ok bool) {
 	folder, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		return fmt.Sprintf("seed %d: %v\n", seed, err), false
--- a/soak/client.go
+++ b/soak/client.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"flamingoreach/io/work"
 	"flamingoreach/platform/standin"
 )
 
@@ -34,7 +35,7 @@
 	defer cli.caller.Close()
 	for number := 0; ctx.Err() == nil; number++ {
 		cli.send(ctx, number)
-		sleep(ctx, thinkTime)
+		work.Wait(ctx, thinkTime)
 	}
 }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"flamingoreach/io/work"
 	"flamingoreach/platform/standin"
 )
 
@@ -37,25 +38,25 @@
 			if node := hos.signal(syscall.SIGKILL); node != nil {
 				<-node.Ended()
 			}
-			sleep(ctx, span(ran, time.Second))
+			work.Wait(ctx, span(ran, time.Second))
 			_ = hos.start(ctx)
 		}},
 		{"pause", func(ctx context.Context, _ *Fleet, hos *host, ran *rand.Rand) {
 			hos.signal(syscall.SIGSTOP)
-			sleep(ctx, span(ran, 2*time.Second))
+			work.Wait(ctx, span(ran, 2*time.Second))
 			hos.signal(syscall.SIGCONT)
 		}},
 		{"reload", func(ctx context.Context, _ *Fleet, hos *host, _ *rand.Rand) {
 			hos.signal(syscall.SIGHUP)
 			// The platform starts a process again that was ended before it could ask for the signal.
-			sleep(ctx, reloadTime)
+			work.Wait(ctx, reloadTime)
 			_ = hos.start(ctx)
 		}},
 		{"store", func(ctx context.Context, _ *Fleet, hos *host, ran *rand.Rand) {
 			ways := []standin.Way{standin.Refuses, standin.Silent, standin.Resets, standin.Slow, standin.Loses}
 			hos.harm()
 			hos.door.Set(ways[ran.IntN(len(ways))])
-			sleep(ctx, span(ran, 4*time.Second))
+			work.Wait(ctx, span(ran, 4*time.Second))
 			hos.door.Set(standin.Well)
 			hos.harm()
 		}},
@@ -65,7 +66,7 @@
 				hos.harm()
 				hos.door.Set(way)
 			}
-			sleep(ctx, span(ran, 3*time.Second))
+			work.Wait(ctx, span(ran, 3*time.Second))
 			for _, hos := range fle.hosts {
 				hos.door.Set(standin.Well)
 				hos.harm()
@@ -86,12 +87,12 @@
 		{"keys", func(_ context.Context, fle *Fleet, _ *host, _ *rand.Rand) { fle.changeVersion() }},
 		{"lostAnswers", func(ctx context.Context, _ *Fleet, hos *host, ran *rand.Rand) {
 			hos.backend.LoseAnswers(30)
-			sleep(ctx, span(ran, 2*time.Second))
+			work.Wait(ctx, span(ran, 2*time.Second))
 			hos.backend.LoseAnswers(0)
 		}},
 		{"release", func(ctx context.Context, _ *Fleet, hos *host, ran *rand.Rand) {
 			hos.backend.Drain()
-			sleep(ctx, drainTime+span(ran, 2*time.Second))
+			work.Wait(ctx, drainTime+span(ran, 2*time.Second))
 			hos.backend.Restart()
 		}},
 	}
@@ -101,13 +102,6 @@
 	return most/10 + time.Duration(ran.Int64N(int64(most)))
 }
 
-func sleep(ctx context.Context, span time.Duration) {
-	select {
-	case <-time.After(span):
-	case <-ctx.Done():
-	}
-}
-
 // describe names a fault as it is written down.
 func describe(at time.Duration, fau fault, hos *host) string {
 	return fmt.Sprintf("%6.2f s %s at %s", at.Seconds(), fau.name, hos.name)
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -18,6 +18,9 @@
 	ampleRate = 5000
 )
 
+// services are those of the backend servers, host by host in turn; the route that moves goes to them in the same order.
+var services = [...]string{"quotes", "confirms"}
+
 // Fleet is the processes and stand-ins of one seed.
 type Fleet struct {
 	number  int
@@ -29,9 +32,9 @@
 
 	mut     sync.Mutex
 	version uint64
-	// movingTo is the service of the route that moves, movedAt when the version that moved it was written.
-	movingTo string
-	movedAt  time.Time
+	// moves counts the versions that moved a route to the next service, movedAt is when the last one was written.
+	moves   int
+	movedAt time.Time
 	// keys are valid, former ones were withdrawn.
 	keys   []key
 	former []key
@@ -52,7 +55,7 @@
 // newFleet starts node processes; number sets the fleet's addresses apart from those of others on this machine.
 func newFleet(ctx context.Context, program, folder string, number, size int) (*Fleet, error) {
 	fle := &Fleet{
-		number: number, folder: folder, program: program, store: standin.NewStore(), ledger: newLedger(), movingTo: "quotes", movedAt: time.Now(),
+		number: number, folder: folder, program: program, store: standin.NewStore(), ledger: newLedger(), movedAt: time.Now(),
 		keys: []key{{text: "key-one-of-bank-a", granted: time.Now()}, {text: "key-two-of-bank-a", granted: time.Now()}},
 	}
 	fle.configure()
@@ -84,7 +87,7 @@
 	for _, valid := range fle.keys {
 		keys = append(keys, valid.text)
 	}
-	fle.store.PutConfiguration(standin.Configuration(fle.version, hostName, fle.movingTo,
+	fle.store.PutConfiguration(standin.Configuration(fle.version, hostName, fle.movingTo(),
 		standin.Account{Name: accountName, Keys: keys, Rate: ampleRate, Burst: ampleRate},
 		standin.Account{Name: greedyName, Keys: []string{greedyKey}, Rate: greedyRate, Burst: greedyRate}))
 }
@@ -95,11 +98,7 @@
 	defer fle.mut.Unlock()
 	gone := fle.keys[0]
 	fle.keys = append(fle.keys[1:], key{text: fmt.Sprintf("key-of-version-%d", fle.version)})
-	if fle.movingTo == "quotes" {
-		fle.movingTo = "confirms"
-	} else {
-		fle.movingTo = "quotes"
-	}
+	fle.moves++
 	fle.configure()
 	now := time.Now()
 	fle.movedAt = now
@@ -122,9 +121,11 @@
 func (fle *Fleet) movingRoute() (service string, since time.Time) {
 	fle.mut.Lock()
 	defer fle.mut.Unlock()
-	return fle.movingTo, fle.movedAt
+	return fle.movingTo(), fle.movedAt
 }
 
+func (fle *Fleet) movingTo() string { return services[fle.moves%len(services)] }
+
 // isValid reports whether a key has not been withdrawn meanwhile.
 func (fle *Fleet) isValid(shown key) bool {
 	fle.mut.Lock()
--- a/soak/greedy.go
+++ b/soak/greedy.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"flamingoreach/io/work"
 	"flamingoreach/platform/standin"
 )
 
@@ -40,7 +41,7 @@
 			told.status = rep.Status
 		}
 		cli.ledger.answered(id, told)
-		sleep(ctx, thinkTime/2)
+		work.Wait(ctx, thinkTime/2)
 	}
 }
 
--- a/soak/host.go
+++ b/soak/host.go
@@ -53,7 +53,7 @@
 // newHost binds the stand-ins of a host and writes its settings; it fails if an address is taken.
 func newHost(ctx context.Context, fleet *Fleet, number int) (*host, error) {
 	address := netip.AddrFrom4([4]byte{127, byte(10 + fleet.number), 1, byte(number + 1)})
-	service := []string{"quotes", "confirms"}[number%2]
+	service := services[number%len(services)]
 	hos := &host{
 		name: fmt.Sprintf("host%d", number), address: address, callers: netip.AddrPortFrom(address, callersPort+behindLink),
 		folder: fleet.folder, program: fleet.program, door: fleet.store.Door(), ledger: fleet.ledger,
--- a/soak/link.go
+++ b/soak/link.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"flamingoreach/io/work"
 )
 
 // linkBytes is the most that a link takes from a connection at once.
@@ -145,7 +147,7 @@
 func (lin *link) disturb(ctx context.Context, ran *rand.Rand, longest time.Duration) {
 	if way := linkWay(ran.IntN(int(silent) + 1)); way != passes {
 		lin.set(way)
-		sleep(ctx, span(ran, longest))
+		work.Wait(ctx, span(ran, longest))
 		lin.set(passes)
 		if way == delays {
 			return
--- a/soak/run.go
+++ b/soak/run.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"flamingoreach/io/work"
 	"flamingoreach/platform/standin"
 )
 
@@ -91,7 +92,7 @@
 			defer func() { <-places }()
 			fau.strike(ctx, fle, hos, own)
 		})
-		sleep(ctx, span(ran, longestGap))
+		work.Wait(ctx, span(ran, longestGap))
 	}
 	under.Wait()
 	return struck
