Count deaths of backend servers and log the calls that may have caused them

A death now leaves a line with its suspects' fingerprints, a refusal at the gate names the fingerprint, and gauges count deaths, deaths without a suspect, contents in quarantine and messages that failed.

--- a/core/gate/crash.go
+++ b/core/gate/crash.go
@@ -7,6 +7,7 @@
 	"flamingoreach/core/answer"
 	"flamingoreach/core/call"
 	"flamingoreach/core/crash"
+	"flamingoreach/core/death"
 	"flamingoreach/core/gatepolicy"
 	"flamingoreach/core/outcome"
 	"flamingoreach/core/reason"
@@ -58,8 +59,16 @@
 			note(exe)
 		}
 	}
+	dea := death.Death{Suspects: fingerprints, Running: len(gat.running), Failed: len(gat.failed)}
 	gat.failed = nil
 	gat.quarantine.RecordCrash(fingerprints, now)
+	gat.deaths++
+	if len(fingerprints) == 0 {
+		gat.unattributed++
+	}
+	if gat.OnDeath != nil {
+		gat.OnDeath(dea)
+	}
 }
 
 // updateQuarantine clears the fingerprint of a call that was answered. A call that may have crashed the backend
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -9,6 +9,7 @@
 	"flamingoreach/core/admissionlevel"
 	"flamingoreach/core/answer"
 	"flamingoreach/core/call"
+	"flamingoreach/core/death"
 	"flamingoreach/core/dedupe"
 	"flamingoreach/core/deepercalls"
 	"flamingoreach/core/gatepolicy"
@@ -63,6 +64,9 @@
 	// each call, refusals included.
 	OnStart func(cal call.Call)
 	OnEnd   func(cal call.Call, ans answer.Answer)
+	// OnDeath, if set, is called with each death of the backend server's process that the gate notices. The gate is locked
+	// meanwhile, so it must not be called.
+	OnDeath func(dea death.Death)
 
 	mut     sync.Mutex
 	policy  gatepolicy.Policy
@@ -87,7 +91,9 @@
 	idle       chan struct{}
 	executed   uint64
 	duplicates uint64
-	refused    map[reason.Reason]uint64
+	// deaths counts the deaths of the backend server's process, unattributed those without suspects.
+	deaths, unattributed uint64
+	refused              map[reason.Reason]uint64
 }
 
 // execution is one call that runs, or ran, on the backend server.
@@ -177,6 +183,7 @@
 	}
 	kept, bytes := gat.dedupe.Len()
 	return gatestats.Stats{
+		Deaths: gat.deaths, UnattributedDeaths: gat.unattributed,
 		State: gat.state, Running: len(gat.running), Waiting: gat.queue.Len(), Limit: gat.limit(),
 		Executed: gat.executed, Duplicates: gat.duplicates, Refused: refused,
 		Level: gat.admissionLevel.Value(), DedupeEntries: kept, DedupeBytes: bytes, Quarantined: gat.quarantine.CountRefused(time.Now()),
--- a/core/gatestats/gatestats.go
+++ b/core/gatestats/gatestats.go
@@ -21,6 +21,10 @@
 	// the answers that it keeps for duplicates, in bytes.
 	DedupeEntries int `json:"kept"`
 	DedupeBytes   int `json:"keptBytes"`
+	// Deaths counts the deaths of the backend server's process that the gate noticed, and UnattributedDeaths those without
+	// a call that may have caused them.
+	Deaths             uint64 `json:"deaths"`
+	UnattributedDeaths uint64 `json:"unattributedDeaths"`
 	// Quarantined is the number of fingerprints in quarantine, whose calls are refused.
 	Quarantined int `json:"quarantined"`
 }
--- a/io/crashlink/crashlink.go
+++ b/io/crashlink/crashlink.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -34,7 +35,10 @@
 	Peers func() []netip.AddrPort
 	// AskTimeout bounds one message, and the time for which AwaitSpread delays an answer.
 	AskTimeout time.Duration
+	// OnSendFailed, if set, is called with each message that another node did not confirm.
+	OnSendFailed func(peer netip.AddrPort, err error)
 
+	failedSends atomic.Uint64
 	// sent counts how often each crash was sent.
 	sent     map[uuid.UUID]int
 	lastSend time.Time
@@ -85,7 +89,22 @@
 		lin.begin()
 		dispatcher.Start(lin.Dispatcher, "quarantine.sent", lin.AskTimeout, func(ctx context.Context) (struct{}, error) {
 			return peer.Ask[[]crash.Crash, struct{}](ctx, lin.Client, address, spreadCrashes, pending)
-		}, func(struct{}, error) { lin.end() })
+		}, func(_ struct{}, err error) {
+			if err != nil {
+				lin.countFailure(address, err)
+			}
+			lin.end()
+		})
+	}
+}
+
+// FailedSends returns the number of messages that another node did not confirm.
+func (lin *Link) FailedSends() uint64 { return lin.failedSends.Load() }
+
+func (lin *Link) countFailure(address netip.AddrPort, err error) {
+	lin.failedSends.Add(1)
+	if lin.OnSendFailed != nil {
+		lin.OnSendFailed(address, err)
 	}
 }
 
--- a/io/hostnode/calls.go
+++ b/io/hostnode/calls.go
@@ -181,7 +181,7 @@
 		return
 	}
 	nod.gateLog.Write("gate refused", "requestId", cal.RequestID, "callId", cal.ID, "route", cal.Route, "step", ans.Refusal.Step,
-		"reason", ans.Refusal.Reason, "outcome", ans.Refusal.Outcome, "load", ans.Load)
+		"reason", ans.Refusal.Reason, "outcome", ans.Refusal.Outcome, "load", ans.Load, "fingerprint", cal.Fingerprint)
 }
 
 // recordEnd logs and counts the end of a request that began on this host.
--- a/io/hostnode/server.go
+++ b/io/hostnode/server.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"flamingoreach/core/announcement"
+	"flamingoreach/core/death"
 	"flamingoreach/core/gate"
 	"flamingoreach/core/gatepolicy"
 	"flamingoreach/core/localserver"
@@ -30,6 +31,8 @@
 	// maxDedupeBytes bounds the answers that are kept for duplicate deliveries. What matters is the ID of each call,
 	// not its answer.
 	maxDedupeBytes = 256 << 10
+	// maxLoggedSuspects bounds the fingerprints in the log line about a death.
+	maxLoggedSuspects = 16
 	// sweepInterval is the time between two searches for connections that were idle too long.
 	sweepInterval = time.Second
 )
@@ -65,6 +68,10 @@
 		nod.gate.Crashed()
 		nod.platform.CloseIdle()
 	}
+	nod.gate.OnDeath = func(dea death.Death) {
+		nod.log.Warn("backend server died", "suspects", len(dea.Suspects), "fingerprints", dea.Suspects[:min(len(dea.Suspects), maxLoggedSuspects)],
+			"running", dea.Running, "failedBefore", dea.Failed)
+	}
 	nod.localServer.OnChange = func(state string, ann announcement.Announcement) {
 		nod.log.Info("backend server", "state", state, "id", ann.ID, "address", ann.Address, "slots", ann.Slots,
 			"sequence", ann.Sequence, "started", ann.Started)
--- a/io/node/server.go
+++ b/io/node/server.go
@@ -9,6 +9,7 @@
 
 	"flamingoreach/core/announcement"
 	"flamingoreach/core/call"
+	"flamingoreach/core/death"
 	"flamingoreach/core/gate"
 	"flamingoreach/core/gatepolicy"
 	"flamingoreach/core/mechanism"
@@ -25,6 +26,9 @@
 	crashProbes       = 3
 )
 
+// maxLoggedSuspects bounds the fingerprints in the log line about a death.
+const maxLoggedSuspects = 16
+
 // setUpServer connects the state of the local backend server with the gate and with this node's entry in the
 // membership list.
 func (nod *Node) setUpServer() {
@@ -38,6 +42,10 @@
 	}
 	nod.localServer.Drain = func() { nod.gate.SetState(gate.Draining) }
 	nod.localServer.Crash = nod.gate.Crashed
+	nod.gate.OnDeath = func(dea death.Death) {
+		nod.log.Warn("backend server died", "suspects", len(dea.Suspects), "fingerprints", dea.Suspects[:min(len(dea.Suspects), maxLoggedSuspects)],
+			"running", dea.Running, "failedBefore", dea.Failed)
+	}
 	nod.localServer.OnChange = func(state string, ann announcement.Announcement) {
 		nod.logs.Gate.Info("backend server", "state", state, "address", ann.Address, "slots", ann.Slots)
 		nod.members.LocalServerChanged(change.Change{Event: entryChanges[state], Service: ann.Service, Slots: ann.Slots})
