--- a/cmd/flamingoreach-host/command/benchmark_test.go
+++ b/cmd/flamingoreach-host/command/benchmark_test.go
@@ -4,12 +4,9 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -17,23 +14,22 @@
 	"github.com/stretchr/testify/require"
 
 	"flamingoreach/core/processortime"
-	"flamingoreach/io/boundedwriter"
-	"flamingoreach/platform"
 	"flamingoreach/platform/standin"
-	"flamingoreach/proofs/loopback"
 )
 
 const (
 	benchmarkKey  = "key-of-bank-a"
 	benchmarkHost = "bench.example"
 	startTime     = 10 * time.Second
-	stopTime      = 6 * time.Second
 	// answerBytes is the size of a typical answer.
 	answerBytes = 5000
 	// settleTime is longer than nodes need to discover each other.
 	settleTime = 5 * time.Second
 )
 
+// answersAtOnce makes a backend server answer each request at once.
+func answersAtOnce(bac *standin.BackendServer) { bac.AnswerBytes = answerBytes }
+
 // BenchmarkCallAcrossHosts makes one call after the other from a host to the backend server of another one, through both
 // nodes. Both run in this process, assembled as in the program, so that -cpuprofile shows where a call's time goes.
 func BenchmarkCallAcrossHosts(b *testing.B) {
@@ -43,8 +39,8 @@
 	endpoint := httptest.NewServer(sto.NewEndpoint())
 	defer endpoint.Close()
 	store := netip.MustParseAddrPort(strings.TrimPrefix(endpoint.URL, "http://"))
-	caller := startHost(ctx, b, store, "quotes")
-	startHost(ctx, b, store, "confirms")
+	caller := startHost(ctx, b, store, "quotes", answersAtOnce).set.Callers
+	startHost(ctx, b, store, "confirms", answersAtOnce)
 	defer cancel()
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
 	ask := func(number int) int {
@@ -80,7 +76,7 @@
 			endpoint := httptest.NewServer(sto.NewEndpoint())
 			defer endpoint.Close()
 			for number := range size {
-				startHost(ctx, b, netip.MustParseAddrPort(strings.TrimPrefix(endpoint.URL, "http://")), []string{"quotes", "confirms"}[number%2])
+				startHost(ctx, b, netip.MustParseAddrPort(strings.TrimPrefix(endpoint.URL, "http://")), []string{"quotes", "confirms"}[number%2], answersAtOnce)
 			}
 			defer cancel()
 			time.Sleep(settleTime)
@@ -101,36 +97,3 @@
 	require.NoError(b, err)
 	return used
 }
-
-// startHost runs a node and a backend server that answers at once, and returns the node's address for callers.
-func startHost(ctx context.Context, b *testing.B, store netip.AddrPort, service string) netip.AddrPort {
-	b.Helper()
-	address := loopback.NewHost()
-	hos := standin.Host{
-		Name: service, Address: address, DataCentre: "z", Service: service, StopTime: stopTime,
-		Callers: loopback.FirstPort, Ready: loopback.FirstPort + 1, Announcements: loopback.FirstPort + 2,
-		BackendServer: loopback.FirstPort + 3, Store: loopback.FirstPort + 4, Peers: loopback.FirstPort + 5,
-	}
-	file := filepath.Join(b.TempDir(), "settings.toml")
-	require.NoError(b, os.WriteFile(file, []byte(standin.Settings(hos)), 0o600))
-	set, err := platform.ReadSettings(file)
-	require.NoError(b, err)
-	set.Store = store
-	backend := &standin.BackendServer{
-		Service: service, Address: set.BackendServer, Announcements: set.Announcements, AnswerBytes: answerBytes,
-		OnExecute: func(standin.Execution) {},
-	}
-	backend.Restart()
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", set.BackendServer.String())
-	require.NoError(b, err)
-	server := &http.Server{Handler: backend, ReadHeaderTimeout: time.Second}
-	go func() { _ = server.Serve(listener) }()
-	go backend.Announce(ctx)
-	ended := make(chan error, 1)
-	go func() { ended <- serve(ctx, file, set, boundedwriter.New(io.Discard, 1), nil) }()
-	b.Cleanup(func() {
-		require.NoError(b, <-ended)
-		require.NoError(b, server.Close())
-	})
-	return set.Callers
-}
