Attribute a death to every call that ended without an answer

Cause: the gate kept a failed call as a suspect only if its reason was backendServerFailed. The adapter of the users' platform gives a broken connection the reason answerTruncated. The tests used the gate's own reason. Besides, a call was forgotten after 3 s, while a silent process is noticed after 5 s, and a call that found the connection refused, and so was never sent, counted as a suspect.

Change: every call that ends with an unknown outcome is kept, whatever the reason, until the fate of the process is known: an announcement that arrives more than 5 s later shows that it lives. A call that runs at a death counts once it has ended without an answer, not before. A whole answer with a failure clears a content like any other.

The new tests of the gate failed before.

--- a/core/gate/crash.go
+++ b/core/gate/crash.go
@@ -1,9 +1,12 @@
 package gate
 
 import (
+	"maps"
 	"slices"
 	"time"
 
+	"github.com/google/uuid"
+
 	"flamingoreach/core/answer"
 	"flamingoreach/core/call"
 	"flamingoreach/core/crash"
@@ -15,10 +18,11 @@
 )
 
 const (
-	// suspectPeriod is how long a failed call remains a suspect if a crash is detected after its failure.
-	suspectPeriod = 3 * time.Second
-	// maxFailed bounds the number of failed calls that the gate remembers.
-	maxFailed = 256
+	// announcementDelay is how late an announcement may arrive: one that arrives later after a call's failure was sent
+	// after it.
+	announcementDelay = 5 * time.Second
+	// maxFailed bounds the fingerprints of failed calls that the gate remembers.
+	maxFailed = 4096
 )
 
 // Crashes returns the crashes to send to other nodes.
@@ -40,30 +44,35 @@
 	return gat.policy.On(gatepolicy.Quarantine) && cal.Fingerprint != 0 && gat.quarantine.Refuses(cal.Fingerprint, now)
 }
 
-// markSuspects records the fingerprints of the calls that ran when the backend server's process died, or that
-// failed within suspectPeriod before.
-func (gat *Gate) markSuspects() {
+// ConfirmAlive reports that the backend server's process was heard from. Calls that failed more than announcementDelay
+// before did not end it.
+func (gat *Gate) ConfirmAlive() {
+	gat.mut.Lock()
+	defer gat.mut.Unlock()
 	now := time.Now()
-	var fingerprints []uint64
-	note := func(exe *execution) {
-		if fin := exe.call.Fingerprint; fin != 0 && !slices.Contains(fingerprints, fin) {
-			fingerprints = append(fingerprints, fin)
-		}
+	maps.DeleteFunc(gat.failed, func(_ uint64, at time.Time) bool { return now.Sub(at) > announcementDelay })
+}
+
+// markSuspects records a death of the backend server's process. Suspects are the failed calls whose failure may have been
+// the death, and the calls that run, unless they turn out not to have run or are answered.
+func (gat *Gate) markSuspects() {
+	id, now := uuid.New(), time.Now()
+	dea := death.Death{Running: len(gat.running), Failed: len(gat.failed)}
+	for fin := range gat.failed {
+		gat.quarantine.RecordCrash(crash.Crash{ID: id, Fingerprint: fin, At: now}, now)
+		dea.Suspects = append(dea.Suspects, fin)
 	}
+	clear(gat.failed)
 	for exe := range gat.running {
-		exe.suspect = true
-		note(exe)
-	}
-	for _, exe := range gat.failed {
-		if now.Sub(exe.failedAt) < suspectPeriod {
-			note(exe)
+		if exe.deathID == uuid.Nil {
+			exe.deathID, exe.diedAt = id, now
+		}
+		if fin := exe.call.Fingerprint; fin != 0 && !slices.Contains(dea.Suspects, fin) {
+			dea.Suspects = append(dea.Suspects, fin)
 		}
 	}
-	dea := death.Death{Suspects: fingerprints, Running: len(gat.running), Failed: len(gat.failed)}
-	gat.failed = nil
-	gat.quarantine.RecordCrash(fingerprints, now)
 	gat.deaths++
-	if len(fingerprints) == 0 {
+	if len(dea.Suspects) == 0 {
 		gat.unattributed++
 	}
 	if gat.OnDeath != nil {
@@ -71,28 +80,42 @@
 	}
 }
 
-// updateQuarantine clears the fingerprint of a call that was answered. A call that may have crashed the backend
-// server is refused with the reason quarantined, so that it is not retried. If the policy allows retries of suspects
-// and the fingerprint is not in quarantine, the reason is backendServerDown.
+// updateQuarantine clears the fingerprint of a call that the backend server answered. A call that may have crashed the
+// backend server is refused with the reason quarantined, so that it is not retried. If the policy allows retries of
+// suspects and the fingerprint is not in quarantine, the reason is backendServerDown.
 func (gat *Gate) updateQuarantine(exe *execution, ans *answer.Answer, now time.Time) {
 	if !gat.policy.On(gatepolicy.Quarantine) {
 		return
 	}
+	fin := exe.call.Fingerprint
 	switch {
-	case ans.Refusal == nil:
-		gat.quarantine.Clear(exe.call.Fingerprint, now)
+	case ans.Refusal == nil || ans.Refusal.Reason == reason.BackendServerError:
+		gat.quarantine.Clear(fin, now)
 		return
 	case ans.Refusal.Outcome != outcome.Unknown:
 		return
-	case !exe.suspect && ans.Refusal.Reason != reason.BackendServerFailed:
-		return
-	case !exe.suspect:
-		exe.failedAt = now
-		gat.failed = append(gat.failed[max(0, len(gat.failed)+1-maxFailed):], exe)
+	case exe.deathID != uuid.Nil:
+		if fin != 0 {
+			gat.quarantine.RecordCrash(crash.Crash{ID: exe.deathID, Fingerprint: fin, At: exe.diedAt}, now)
+		}
+	default:
+		gat.recordFailed(fin, now)
+		if ans.Refusal.Reason != reason.BackendServerFailed {
+			return
+		}
 	}
-	if gat.policy.RetrySuspects && !gat.quarantine.Refuses(exe.call.Fingerprint, now) {
+	if gat.policy.RetrySuspects && !gat.quarantine.Refuses(fin, now) {
 		ans.Refusal = refusal.Unknown(reason.BackendServerDown, "gate.suspect")
 		return
 	}
 	ans.Refusal = refusal.Unknown(reason.Quarantined, "gate.suspect")
 }
+
+// recordFailed remembers the fingerprint of a call that ended without an answer until it is known whether the backend
+// server's process survived.
+func (gat *Gate) recordFailed(fingerprint uint64, now time.Time) {
+	if _, known := gat.failed[fingerprint]; fingerprint == 0 || !known && len(gat.failed) >= maxFailed {
+		return
+	}
+	gat.failed[fingerprint] = now
+}
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
+
 	"flamingoreach/charts"
 	"flamingoreach/core/admissionlevel"
 	"flamingoreach/core/answer"
@@ -82,9 +84,9 @@
 	admissionLevel   *admissionlevel.Level
 	dedupe           *dedupe.Table
 	quarantine       *quarantine.List
-	// failed holds the calls that recently failed at the backend server: if its process turns out to have crashed,
-	// they are suspects.
-	failed []*execution
+	// failed maps the fingerprints of calls that ended without an answer to the time of the last failure. If the backend
+	// server's process turns out to have died, they are suspects.
+	failed map[uint64]time.Time
 	// serviceTime is the moving average of the time that calls take to run.
 	serviceTime time.Duration
 	// idle is nil until Drain is called, and is closed when no call runs or waits.
@@ -100,10 +102,9 @@
 type execution struct {
 	call    call.Call
 	started time.Time
-	// failedAt is set when the call failed at the backend server.
-	failedAt time.Time
-	// suspect says that the backend server's process died while the call ran.
-	suspect bool
+	// deathID identifies the death of the backend server's process that was noticed while the call ran, at diedAt.
+	deathID uuid.UUID
+	diedAt  time.Time
 }
 
 // New returns a gate in the state Warming.
@@ -111,6 +112,7 @@
 	gat := &Gate{
 		state:   gateMachine.Initial(),
 		running: map[*execution]struct{}{},
+		failed:  map[uint64]time.Time{},
 		refused: map[reason.Reason]uint64{},
 	}
 	gat.policy = pol.WithDefaults()
--- a/core/gate/guarantees_test.go
+++ b/core/gate/guarantees_test.go
@@ -286,16 +286,73 @@
 	})
 }
 
+// endWith runs a call with a fingerprint that ends with a refusal.
+func endWith(t *testing.T, gat *gate.Gate, fingerprint uint64, ref *refusal.Refusal) {
+	t.Helper()
+	cal := newCall("a", 1)
+	cal.Fingerprint = fingerprint
+	gat.Run(t.Context(), cal, func(context.Context) (answer.Answer, any) { return answer.Answer{Refusal: ref}, nil })
+}
+
 func TestACallThatFailedJustBeforeTheCrashWasNoticedIsASuspect(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		gat := gate.New(gatepolicy.Policy{Slots: 4, Off: off})
-		cal := newCall("a", 1)
-		cal.Fingerprint = 42
-		gat.Run(t.Context(), cal, func(context.Context) (answer.Answer, any) {
-			return answer.Answer{Refusal: refusal.Unknown(reason.BackendServerFailed, "test")}, nil
-		})
+		endWith(t, gat, 42, refusal.Unknown(reason.BackendServerFailed, "test"))
 		time.Sleep(time.Second)
 		gat.Crashed()
 		require.Len(t, gat.Crashes(), 1)
 	})
 }
+
+// Guards against deaths without suspects, which a failed call of any reason may have caused however late they are noticed.
+func TestACallWithoutAnAnswerIsASuspectUntilTheProcessIsKnownToLive(t *testing.T) {
+	for why, crashes := range map[reason.Reason]int{
+		reason.BackendServerFailed: 1, reason.AnswerTruncated: 1, reason.AnswerMismatched: 1, reason.Cancelled: 1, reason.DeadlineExceeded: 1,
+		reason.BackendServerError: 0,
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			gat := gate.New(gatepolicy.Policy{Slots: 4, Off: off})
+			endWith(t, gat, 42, refusal.Unknown(why, "test"))
+			endWith(t, gat, 43, refusal.NotRun(reason.BackendServerDown, "test"))
+			time.Sleep(4 * time.Second)
+			gat.ConfirmAlive()
+			time.Sleep(time.Minute)
+			gat.Crashed()
+			require.Len(t, gat.Crashes(), crashes, "%s: an announcement may be older than the failure", why)
+			require.Equal(t, uint64(1-crashes), gat.Stats().UnattributedDeaths)
+		})
+		synctest.Test(t, func(t *testing.T) {
+			gat := gate.New(gatepolicy.Policy{Slots: 4, Off: off})
+			endWith(t, gat, 42, refusal.Unknown(why, "test"))
+			time.Sleep(6 * time.Second)
+			gat.ConfirmAlive()
+			gat.Crashed()
+			require.Empty(t, gat.Crashes(), "%s: the process was heard from after the failure", why)
+		})
+	}
+}
+
+func TestACallThatRunsAtADeathIsASuspectOnlyIfItEndsWithoutAnAnswer(t *testing.T) {
+	for name, test := range map[string]struct {
+		ref     *refusal.Refusal
+		crashes int
+	}{
+		"answered": {nil, 0},
+		"not sent": {refusal.NotRun(reason.BackendServerDown, "test"), 0},
+		"lost":     {refusal.Unknown(reason.AnswerTruncated, "test"), 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				gat := gate.New(gatepolicy.Policy{Slots: 4, Off: off})
+				cal := newCall("a", 1)
+				cal.Fingerprint = 42
+				gat.Run(t.Context(), cal, func(context.Context) (answer.Answer, any) {
+					gat.Crashed()
+					time.Sleep(time.Second)
+					return answer.Answer{Refusal: test.ref}, nil
+				})
+				require.Len(t, gat.Crashes(), test.crashes)
+			})
+		})
+	}
+}
--- a/core/localserver/server.go
+++ b/core/localserver/server.go
@@ -28,6 +28,8 @@
 	Open  func(ann announcement.Announcement)
 	Drain func()
 	Crash func()
+	// OnAlive, if set, is called when another announcement of the same process shows that it runs.
+	OnAlive func()
 	// OnChange is called with each new state and the latest announcement.
 	OnChange func(state string, ann announcement.Announcement)
 
@@ -73,8 +75,11 @@
 	restarted := ser.state != Absent && another
 	ser.latest = ann
 	ser.lastAnnounced = time.Now()
-	if restarted {
+	switch {
+	case restarted:
 		ser.fire("restarted")
+	case !another && ser.OnAlive != nil:
+		ser.OnAlive()
 	}
 	if ser.hasLeft(ann) {
 		ser.fire(Draining)
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/google/uuid"
-
 	"flamingoreach/core/crash"
 )
 
@@ -39,13 +37,8 @@
 	return &List{Period: period, entries: map[uint64]suspect{}}
 }
 
-// RecordCrash records that calls with these fingerprints were running when the backend server's process died.
-func (lis *List) RecordCrash(fingerprints []uint64, now time.Time) {
-	id := uuid.New()
-	for _, fin := range fingerprints {
-		lis.add(crash.Crash{ID: id, Fingerprint: fin, At: now}, now)
-	}
-}
+// RecordCrash records that a call with a fingerprint may have crashed the backend server.
+func (lis *List) RecordCrash(cra crash.Crash, now time.Time) { lis.add(cra, now) }
 
 // Clear discards the crashes of a fingerprint after a call with it ran to its end.
 func (lis *List) Clear(fingerprint uint64, now time.Time) {
--- a/io/hostnode/server.go
+++ b/io/hostnode/server.go
@@ -68,6 +68,7 @@
 		nod.gate.Crashed()
 		nod.platform.CloseIdle()
 	}
+	nod.localServer.OnAlive = nod.gate.ConfirmAlive
 	nod.gate.OnDeath = func(dea death.Death) {
 		nod.log.Warn("backend server died", "suspects", len(dea.Suspects), "fingerprints", dea.Suspects[:min(len(dea.Suspects), maxLoggedSuspects)],
 			"running", dea.Running, "failedBefore", dea.Failed)
--- a/io/node/server.go
+++ b/io/node/server.go
@@ -42,6 +42,7 @@
 	}
 	nod.localServer.Drain = func() { nod.gate.SetState(gate.Draining) }
 	nod.localServer.Crash = nod.gate.Crashed
+	nod.localServer.OnAlive = nod.gate.ConfirmAlive
 	nod.gate.OnDeath = func(dea death.Death) {
 		nod.log.Warn("backend server died", "suspects", len(dea.Suspects), "fingerprints", dea.Suspects[:min(len(dea.Suspects), maxLoggedSuspects)],
 			"running", dea.Running, "failedBefore", dea.Failed)
