Notice the crash of a backend server before the call that saw it ends

What callers saw: with all servers of a service down, a crashing request ended a third server where two may.

Cause: on the users' platform a broken connection alone says nothing, and a new one is opened only for the next call. The call that crashed the process was retried elsewhere before anything knew of the crash, and calls that broke with it were counted only if something connected in time.

A refusal now names the announcement of the process that it is about, so that a late one does not close the gate of the next process.

--- a/cmd/flamingoreach-host/command/command.go
+++ b/cmd/flamingoreach-host/command/command.go
@@ -117,7 +117,7 @@
 		ReadMembers: store.ReadMembers, WriteMember: store.WriteMember, DeleteMember: store.DeleteMember,
 		Execute: backend.Execute, Sweep: pool.Sweep, CloseIdle: pool.CloseIdle,
 	}, logger)
-	backend.OnFailure = nod.HandleBrokenConnection
+	backend.OnRefused = nod.HandleRefusedConnection
 	nod.Metrics().Gauge("log_lines_dropped", func() float64 { return float64(lines.Dropped()) })
 	nod.Reload(set)
 	watching, stopWatching := context.WithCancel(ctx)
--- a/core/announcement/announcement.go
+++ b/core/announcement/announcement.go
@@ -21,3 +21,8 @@
 	// Started is when the process started.
 	Started time.Time `json:"started"`
 }
+
+// SameProcess reports whether two announcements come from the same process.
+func (ann Announcement) SameProcess(other Announcement) bool {
+	return ann.ID == other.ID && ann.Started.Equal(other.Started)
+}
--- a/io/hostnode/node_test.go
+++ b/io/hostnode/node_test.go
@@ -193,7 +193,7 @@
 	hosts := startFleet(t, newStore(testConfiguration(1)), "quotes", "quotes")
 	for _, hos := range hosts {
 		hos.setRun(func(_ context.Context, cal call.Call) (answer.Answer, message.Message) {
-			hos.HandleBrokenConnection(true)
+			hos.HandleRefusedConnection(hos.announcement(localserver.Serving, 1))
 			ans := completeAnswer(cal)
 			ans.Refusal = refusal.Unknown(reason.AnswerTruncated, "test")
 			return ans, message.Message{}
--- a/io/hostnode/server.go
+++ b/io/hostnode/server.go
@@ -114,15 +114,17 @@
 	nod.gateLog.Write("heartbeat not used", "id", id, "error", err)
 }
 
-// HandleBrokenConnection handles a broken connection to the backend server. If the connection was refused, no process
-// listens at the address: the backend server has crashed. Other failures are ignored.
-func (nod *Node) HandleBrokenConnection(refused bool) {
-	if !refused {
+// HandleRefusedConnection handles a refused connection to the process of an announcement: it has died. If another process
+// has announced itself since, nothing changes.
+func (nod *Node) HandleRefusedConnection(ann announcement.Announcement) {
+	if latest := nod.backend.Load(); latest == nil || !latest.SameProcess(ann) {
 		return
 	}
 	nod.gate.Crashed()
 	nod.control.Offer(dispatcher.Event("localServer.broken", nil, func() {
-		nod.localServer.ConnectionRefused()
-		nod.crashLink.Send()
+		if nod.localServer.Latest().SameProcess(ann) {
+			nod.localServer.ConnectionRefused()
+			nod.crashLink.Send()
+		}
 	}))
 }
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -63,6 +63,20 @@
 	return res, err
 }
 
+// Reopen opens a connection for a later exchange, for example after another one broke. It reports whether the connection
+// was refused, that is, whether no process listens at the address.
+func (pl *Pool) Reopen(ctx context.Context, address netip.AddrPort) (refused bool) {
+	con, err := pl.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	con.idleUntil = time.Now().Add(idleTime)
+	if !pl.put(address, con) {
+		_ = con.Close()
+	}
+	return false
+}
+
 // CloseIdle closes the idle connections, for example because the process at their other end has ended.
 func (pl *Pool) CloseIdle() {
 	pl.mut.Lock()
@@ -84,6 +98,10 @@
 	if con := pl.reuse(address); con != nil {
 		return con, nil
 	}
+	return pl.dial(ctx, address)
+}
+
+func (pl *Pool) dial(ctx context.Context, address netip.AddrPort) (*connection, error) {
 	raw, err := pl.Dial(ctx, address)
 	if err != nil {
 		return nil, err
--- a/io/http1/pool_test.go
+++ b/io/http1/pool_test.go
@@ -207,6 +207,20 @@
 	require.Len(t, accepted, 1)
 }
 
+func TestAReopenedConnectionServesTheNextExchange(t *testing.T) {
+	address, accepted := serve(t, echo)
+	pl := http1.NewPool(time.Second)
+	defer pl.Close()
+	_, err := exchange(t, pl, address, "a", "")
+	require.NoError(t, err)
+	pl.CloseIdle()
+	require.False(t, pl.Reopen(t.Context(), address))
+	require.Eventually(t, func() bool { return len(accepted) == 2 }, testTime, time.Millisecond)
+	_, err = exchange(t, pl, address, "b", "")
+	require.NoError(t, err)
+	require.Len(t, accepted, 2)
+}
+
 func TestARefusedConnectionFailsBeforeAnythingIsSent(t *testing.T) {
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -218,6 +232,7 @@
 	var fai *http1.Failure
 	require.ErrorAs(t, err, &fai)
 	require.True(t, fai.Refused)
+	require.True(t, pl.Reopen(t.Context(), address))
 }
 
 func TestACancelledExchangeClosesItsConnection(t *testing.T) {
