Refuse a crashing request again after one crash, for twice as long

What callers saw: a request that crashes backend servers ended two more each time that its minute of refusal was over, and one that came less often than once a minute was never refused.

Cause: a crash counted for as long as it was refused, one minute on the users' platform. After that nothing was known of the content. Besides, the list of 4,096 fingerprints dropped the one whose last crash was oldest, refused or not, so that the calls in flight at many deaths displaced it.

Change: crashes are kept for ten periods after the last one. The refusal lasts one period after the second crash and doubles with each further one, up to five; one crash after its end is enough to renew it, and a whole answer ends it. A full list drops what has expired, then the fewest crashes first.

TestAFingerprintIsRefusedOnEveryNodeAfterItsSecondCrash expected an empty list after the refusal; it now expects that the refusal ends after a minute and the list is empty after the retention.

--- a/core/gatepolicy/gatepolicy.go
+++ b/core/gatepolicy/gatepolicy.go
@@ -40,7 +40,8 @@
 	QueueWait time.Duration
 	// Weights holds the relative weights of client accounts in the queue; an account without an entry has weight 1.
 	Weights map[string]float64
-	// QuarantineTime is how long calls with the fingerprint of a crashing call are refused after its last crash.
+	// QuarantineTime is how long calls with the fingerprint of a crashing call are refused after its second crash; each
+	// further crash doubles the time, up to five times QuarantineTime.
 	QuarantineTime time.Duration
 	// IdempotencyRetention is how long the answer to a call with an idempotency key is kept.
 	IdempotencyRetention time.Duration
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -11,15 +12,20 @@
 const (
 	// threshold is the number of crashes from which calls with a fingerprint are refused.
 	threshold = 2
-	// maxFingerprints bounds the list; beyond it, the fingerprint whose last change is oldest is evicted.
+	// retentionPeriods is how long the crashes of a fingerprint are kept after the last one, in periods. A fingerprint that
+	// crashes a backend server again after it was refused must be refused at once.
+	retentionPeriods = 10
+	// maxRefusalPeriods bounds the time for which a fingerprint is refused, in periods.
+	maxRefusalPeriods = retentionPeriods / 2
+	// maxFingerprints bounds the list; beyond it, a fingerprint with the fewest crashes is evicted, the oldest first.
 	maxFingerprints = 4096
 	// maxCrashes bounds the crashes that are kept for one fingerprint.
-	maxCrashes = 4
+	maxCrashes = 8
 )
 
-// List holds the recent crashes by the fingerprint of the calls that were running.
+// List holds the recent crashes by the fingerprint of the calls that may have caused them.
 type List struct {
-	// Period is how long a crash counts, and how long a fingerprint is refused after its last crash.
+	// Period is how long a fingerprint is refused after its second crash. Each further crash doubles the time.
 	Period time.Duration
 
 	entries map[uint64]suspect
@@ -51,7 +57,12 @@
 // Refuses reports whether calls with a fingerprint are refused.
 func (lis *List) Refuses(fingerprint uint64, now time.Time) bool {
 	sus := lis.entries[fingerprint]
-	return len(sus.crashes) >= threshold && now.Sub(sus.lastChange()) < lis.Period
+	return len(sus.crashes) >= threshold && now.Sub(sus.lastChange()) < lis.refusalTime(len(sus.crashes))
+}
+
+// refusalTime returns how long a fingerprint with a number of crashes is refused after the last one.
+func (lis *List) refusalTime(crashes int) time.Duration {
+	return min(lis.Period<<(crashes-threshold), maxRefusalPeriods*lis.Period)
 }
 
 // CountRefused returns the number of fingerprints that are refused.
@@ -69,10 +80,8 @@
 func (lis *List) Export(now time.Time) []crash.Crash {
 	var all []crash.Crash
 	for _, sus := range lis.entries {
-		for _, cra := range sus.crashes {
-			if now.Sub(cra.At) < lis.Period {
-				all = append(all, cra)
-			}
+		if !lis.expired(sus, now) {
+			all = append(all, sus.crashes...)
 		}
 	}
 	slices.SortFunc(all, func(cra, other crash.Crash) int {
@@ -89,34 +98,46 @@
 }
 
 func (lis *List) add(cra crash.Crash, now time.Time) {
-	sus := lis.entries[cra.Fingerprint]
-	sus.crashes = slices.DeleteFunc(sus.crashes, func(other crash.Crash) bool {
-		return now.Sub(other.At) >= lis.Period
-	})
+	sus, found := lis.entries[cra.Fingerprint]
+	if found && lis.expired(sus, now) {
+		sus = suspect{}
+	}
 	known := slices.ContainsFunc(sus.crashes, func(other crash.Crash) bool { return other.ID == cra.ID })
-	if !known && cra.At.After(sus.cleared) && now.Sub(cra.At) < lis.Period {
-		sus.crashes = append(sus.crashes, cra)
+	if known || !cra.At.After(sus.cleared) || now.Sub(cra.At) >= lis.retention() {
+		return
 	}
-	if len(sus.crashes) > maxCrashes {
+	if len(sus.crashes) == maxCrashes {
 		sus.crashes = sus.crashes[1:]
 	}
+	sus.crashes = append(slices.Clone(sus.crashes), cra)
 	lis.entries[cra.Fingerprint] = sus
 	if len(lis.entries) > maxFingerprints {
-		lis.evictOldest()
+		lis.evict(now)
 	}
 }
 
-func (lis *List) evictOldest() {
-	var oldest uint64
-	var at time.Time
+// evict removes the expired entries or, if there are none, one with the fewest crashes.
+func (lis *List) evict(now time.Time) {
+	maps.DeleteFunc(lis.entries, func(_ uint64, sus suspect) bool { return lis.expired(sus, now) })
+	if len(lis.entries) <= maxFingerprints {
+		return
+	}
+	var evicted uint64
+	var least suspect
 	for fin, sus := range lis.entries {
-		if changed := sus.lastChange(); at.IsZero() || changed.Before(at) {
-			oldest, at = fin, changed
+		if evicted == 0 || cmp.Or(cmp.Compare(len(sus.crashes), len(least.crashes)), sus.lastChange().Compare(least.lastChange())) < 0 {
+			evicted, least = fin, sus
 		}
 	}
-	delete(lis.entries, oldest)
+	delete(lis.entries, evicted)
+}
+
+func (lis *List) expired(sus suspect, now time.Time) bool {
+	return now.Sub(sus.lastChange()) >= lis.retention()
 }
 
+func (lis *List) retention() time.Duration { return retentionPeriods * lis.Period }
+
 // lastChange returns the time of the last crash, or the time at which the fingerprint was cleared if that is later.
 func (sus suspect) lastChange() time.Time {
 	at := sus.cleared
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -37,6 +37,42 @@
 		require.True(t, first.Refuses(7, time.Now()))
 		time.Sleep(time.Minute)
 		require.False(t, first.Refuses(7, time.Now()))
+		time.Sleep(10 * time.Minute)
 		require.Empty(t, first.Export(time.Now()))
 	})
 }
+
+// Guards against a fingerprint that may crash two more backend servers each time that its refusal ends.
+func TestARefusalThatEndedIsRenewedByOneCrashForTwiceTheTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lis := quarantine.New(time.Minute)
+		recordCrash(lis, 7)
+		time.Sleep(9 * time.Minute)
+		recordCrash(lis, 7)
+		require.True(t, lis.Refuses(7, time.Now()), "the first crash still counts")
+		for _, refused := range []time.Duration{time.Minute, 2 * time.Minute, 4 * time.Minute, 5 * time.Minute, 5 * time.Minute} {
+			time.Sleep(refused - time.Nanosecond)
+			require.True(t, lis.Refuses(7, time.Now()), refused)
+			time.Sleep(time.Nanosecond)
+			require.False(t, lis.Refuses(7, time.Now()), refused)
+			recordCrash(lis, 7)
+		}
+		lis.Clear(7, time.Now())
+		require.False(t, lis.Refuses(7, time.Now()), "a call that ran to its end ends the refusal")
+	})
+}
+
+// Guards against a refused fingerprint that other calls push out of the list as they fail.
+func TestManySuspectsDoNotDisplaceARefusedFingerprint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lis := quarantine.New(time.Minute)
+		recordCrash(lis, 7)
+		recordCrash(lis, 7)
+		for fin := range uint64(5000) {
+			time.Sleep(time.Millisecond)
+			recordCrash(lis, 1000+fin)
+		}
+		require.True(t, lis.Refuses(7, time.Now()))
+		require.Len(t, lis.Export(time.Now()), 4097, "2 crashes of one fingerprint and one of 4095 others")
+	})
+}
