Keep the fingerprint of a request when its route gets another name

The name of the route was part of a request's fingerprint, so a version of the configuration that renames the route let a crashing request through to two more backend servers.

Change: the host name takes the place of the route's name; with the path it says as much. The new test failed before.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -153,10 +153,11 @@
 	return rou.Timeout
 }
 
-// fingerprint hashes a call's content, for the quarantine of calls that crash backend servers.
+// fingerprint hashes a call's content, for the quarantine of calls that crash backend servers. It does not depend on the
+// route, whose name a new version of the configuration may change.
 func fingerprint(cal call.Call, req request.Request) uint64 {
 	dig := xxhash.New()
-	for _, field := range []string{cal.Account, cal.Route, req.Method, req.Path} {
+	for _, field := range []string{cal.Account, req.Host, req.Method, req.Path} {
 		_, _ = dig.WriteString(field)
 		_, _ = dig.Write([]byte{0})
 	}
