Send crash records until they are confirmed, and to nodes that become known

What callers saw: a crashing request got through again at nodes that had been out of reach or had just started, and a content that one node had cleared was still refused at others.

Cause: a crash was sent three times, a second apart, to the nodes known then, and never again. A node that was cut off or frozen for longer, or that started later, never learned of it; after restarts in turn, as in a rolling update, nobody knew of any crash. An answer that cleared a content did so at its own node only, so that contents in flight at many deaths could be refused at nodes that had not run them since. Crashes carried the sender's time of day, which may differ from the receiver's.

Change: the list gives its changes revisions. The link remembers for each other node of the service what it has confirmed, sends the rest until it has confirmed that too, and sends a node that becomes known all records, those that others had sent included. Records hold the time of the last clearing, and ages in place of times. The answer to a call that may be retried after a crash waits up to 100 ms for the others to know. A node of an earlier version does not understand the new message: while versions are mixed, each kind spreads crashes among its own only.

--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -6,11 +6,10 @@
 	"github.com/google/uuid"
 )
 
-// Crash records that a call with a fingerprint was running when a backend server's process died. Nodes send crashes
-// to each other.
+// Crash records that a call with a fingerprint may have ended a backend server's process.
 type Crash struct {
-	// ID identifies the death of the process; it is the same for all calls that were running then.
-	ID          uuid.UUID `json:"id"`
-	Fingerprint uint64    `json:"fingerprint"`
-	At          time.Time `json:"at"`
+	// ID identifies the death of the process; it is the same for all calls that may have ended it.
+	ID          uuid.UUID
+	Fingerprint uint64
+	At          time.Time
 }
--- /dev/null
+++ b/core/crash/record/record.go
@@ -0,0 +1,15 @@
+package record
+
+import (
+	"time"
+
+	"flamingoreach/core/crash"
+)
+
+// Record holds the crashes of one fingerprint that count.
+type Record struct {
+	Fingerprint uint64
+	Crashes     []crash.Crash
+	// Cleared is the last time that a call with the fingerprint ran to its end, or zero; earlier crashes do not count.
+	Cleared time.Time
+}
--- a/core/gate/crash.go
+++ b/core/gate/crash.go
@@ -10,6 +10,7 @@
 	"flamingoreach/core/answer"
 	"flamingoreach/core/call"
 	"flamingoreach/core/crash"
+	"flamingoreach/core/crash/record"
 	"flamingoreach/core/death"
 	"flamingoreach/core/gatepolicy"
 	"flamingoreach/core/outcome"
@@ -25,18 +26,26 @@
 	maxFailed = 4096
 )
 
-// Crashes returns the crashes to send to other nodes.
-func (gat *Gate) Crashes() []crash.Crash {
+// CrashRevision returns the revision of the latest change of the crash records.
+func (gat *Gate) CrashRevision() uint64 {
 	gat.mut.Lock()
 	defer gat.mut.Unlock()
-	return gat.quarantine.Export(time.Now())
+	return gat.quarantine.Revision()
 }
 
-// AddCrashes merges crashes that were received from other nodes.
-func (gat *Gate) AddCrashes(crashes []crash.Crash) {
+// CrashRecords returns the crash records to send to another node that has all up to a revision, and the revision that it
+// has then; joined is the revision at which the other node became known.
+func (gat *Gate) CrashRecords(after, joined uint64) ([]record.Record, uint64) {
 	gat.mut.Lock()
 	defer gat.mut.Unlock()
-	gat.quarantine.Import(crashes, time.Now())
+	return gat.quarantine.Export(after, joined, time.Now())
+}
+
+// AddCrashRecords merges crash records that were received from another node.
+func (gat *Gate) AddCrashRecords(records []record.Record) {
+	gat.mut.Lock()
+	defer gat.mut.Unlock()
+	gat.quarantine.Import(records, time.Now())
 }
 
 // quarantined reports whether a call must not run because calls with its fingerprint crashed backend servers.
--- a/core/gate/guarantees_test.go
+++ b/core/gate/guarantees_test.go
@@ -16,6 +16,7 @@
 	"flamingoreach/core/answer"
 	"flamingoreach/core/call"
 	"flamingoreach/core/crash"
+	"flamingoreach/core/crash/record"
 	"flamingoreach/core/gate"
 	"flamingoreach/core/gatepolicy"
 	"flamingoreach/core/outcome"
@@ -248,24 +249,24 @@
 func TestACrashingCallKillsABackendServerTwiceAtMost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		gat := gate.New(gatepolicy.Policy{Slots: 4, Off: off})
-		crashes := 0
+		count := 0
 		for range 10 {
 			cal := newCall("a", 1)
 			cal.Fingerprint = 42
 			ans, _ := gat.Run(t.Context(), cal, func(context.Context) (answer.Answer, any) {
-				crashes++
+				count++
 				gat.Crashed()
 				gat.SetState(gate.Warming)
 				return answer.Answer{Refusal: refusal.Unknown(reason.BackendServerFailed, "test")}, nil
 			})
 			require.Equal(t, reason.Quarantined, ans.Refusal.Reason, "a suspect is not retried")
 		}
-		require.Equal(t, 2, crashes)
+		require.Equal(t, 2, count)
 		other := newCall("a", 1)
 		other.Fingerprint = 43
 		ans, _ := gat.Run(t.Context(), other, sleeping(0))
 		require.Nil(t, ans.Refusal)
-		require.Len(t, gat.Crashes(), 2)
+		require.Len(t, crashes(gat), 2)
 	})
 }
 
@@ -276,16 +277,26 @@
 		cal := newCall("a", 1)
 		cal.Fingerprint = 42
 		waiting := start(gat, cal, sleeping(0))
-		gat.AddCrashes([]crash.Crash{
+		gat.AddCrashRecords([]record.Record{{Fingerprint: 42, Crashes: []crash.Crash{
 			{ID: uuid.New(), Fingerprint: 42, At: time.Now()},
 			{ID: uuid.New(), Fingerprint: 42, At: time.Now()},
-		})
+		}}})
 		require.Nil(t, (<-running).ans.Refusal)
 		require.Equal(t, reason.Quarantined, (<-waiting).ans.Refusal.Reason)
 		require.Equal(t, 1, gat.Stats().Quarantined)
 	})
 }
 
+// crashes returns the crashes that the gate has recorded.
+func crashes(gat *gate.Gate) []crash.Crash {
+	var all []crash.Crash
+	records, _ := gat.CrashRecords(0, gat.CrashRevision())
+	for _, rec := range records {
+		all = append(all, rec.Crashes...)
+	}
+	return all
+}
+
 // endWith runs a call with a fingerprint that ends with a refusal.
 func endWith(t *testing.T, gat *gate.Gate, fingerprint uint64, ref *refusal.Refusal) {
 	t.Helper()
@@ -300,13 +311,13 @@
 		endWith(t, gat, 42, refusal.Unknown(reason.BackendServerFailed, "test"))
 		time.Sleep(time.Second)
 		gat.Crashed()
-		require.Len(t, gat.Crashes(), 1)
+		require.Len(t, crashes(gat), 1)
 	})
 }
 
 // Guards against deaths without suspects, which a failed call of any reason may have caused however late they are noticed.
 func TestACallWithoutAnAnswerIsASuspectUntilTheProcessIsKnownToLive(t *testing.T) {
-	for why, crashes := range map[reason.Reason]int{
+	for why, expected := range map[reason.Reason]int{
 		reason.BackendServerFailed: 1, reason.AnswerTruncated: 1, reason.AnswerMismatched: 1, reason.Cancelled: 1, reason.DeadlineExceeded: 1,
 		reason.BackendServerError: 0,
 	} {
@@ -318,8 +329,8 @@
 			gat.ConfirmAlive()
 			time.Sleep(time.Minute)
 			gat.Crashed()
-			require.Len(t, gat.Crashes(), crashes, "%s: an announcement may be older than the failure", why)
-			require.Equal(t, uint64(1-crashes), gat.Stats().UnattributedDeaths)
+			require.Len(t, crashes(gat), expected, "%s: an announcement may be older than the failure", why)
+			require.Equal(t, uint64(1-expected), gat.Stats().UnattributedDeaths)
 		})
 		synctest.Test(t, func(t *testing.T) {
 			gat := gate.New(gatepolicy.Policy{Slots: 4, Off: off})
@@ -327,15 +338,15 @@
 			time.Sleep(6 * time.Second)
 			gat.ConfirmAlive()
 			gat.Crashed()
-			require.Empty(t, gat.Crashes(), "%s: the process was heard from after the failure", why)
+			require.Empty(t, crashes(gat), "%s: the process was heard from after the failure", why)
 		})
 	}
 }
 
 func TestACallThatRunsAtADeathIsASuspectOnlyIfItEndsWithoutAnAnswer(t *testing.T) {
 	for name, test := range map[string]struct {
-		ref     *refusal.Refusal
-		crashes int
+		ref      *refusal.Refusal
+		expected int
 	}{
 		"answered": {nil, 0},
 		"not sent": {refusal.NotRun(reason.BackendServerDown, "test"), 0},
@@ -351,7 +362,7 @@
 					time.Sleep(time.Second)
 					return answer.Answer{Refusal: test.ref}, nil
 				})
-				require.Len(t, gat.Crashes(), test.crashes)
+				require.Len(t, crashes(gat), test.expected)
 			})
 		})
 	}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"flamingoreach/core/crash"
+	"flamingoreach/core/crash/record"
 )
 
 const (
@@ -21,6 +22,8 @@
 	maxFingerprints = 4096
 	// maxCrashes bounds the crashes that are kept for one fingerprint.
 	maxCrashes = 8
+	// maxExported bounds the records that are exported at once.
+	maxExported = 256
 )
 
 // List holds the recent crashes by the fingerprint of the calls that may have caused them.
@@ -29,6 +32,8 @@
 	Period time.Duration
 
 	entries map[uint64]suspect
+	// revision counts the changes of the list.
+	revision uint64
 }
 
 // suspect is the list's record of one fingerprint.
@@ -36,6 +41,8 @@
 	crashes []crash.Crash
 	// cleared is the last time that a call with the fingerprint ran to its end; earlier crashes do not count.
 	cleared time.Time
+	// revision is the list's revision at the last change, and localRevision that at the last change that was not imported.
+	revision, localRevision uint64
 }
 
 // New returns an empty list.
@@ -44,14 +51,17 @@
 }
 
 // RecordCrash records that a call with a fingerprint may have crashed the backend server.
-func (lis *List) RecordCrash(cra crash.Crash, now time.Time) { lis.add(cra, now) }
+func (lis *List) RecordCrash(cra crash.Crash, now time.Time) {
+	lis.update(cra.Fingerprint, now, false, func(sus *suspect) bool { return lis.addCrash(sus, cra, now) })
+}
 
-// Clear discards the crashes of a fingerprint after a call with it ran to its end.
+// Clear discards the crashes of a fingerprint after a call with it ran to its end. Without crashes there is nothing to
+// discard, so that the list does not grow with the calls.
 func (lis *List) Clear(fingerprint uint64, now time.Time) {
-	if sus, found := lis.entries[fingerprint]; found {
-		sus.crashes, sus.cleared = nil, now
-		lis.entries[fingerprint] = sus
+	if len(lis.entries[fingerprint].crashes) == 0 {
+		return
 	}
+	lis.update(fingerprint, now, false, func(sus *suspect) bool { return sus.clear(now) })
 }
 
 // Refuses reports whether calls with a fingerprint are refused.
@@ -76,46 +86,93 @@
 	return count
 }
 
-// Export returns all crashes that still count, ordered by time and fingerprint, to send them to other nodes.
-func (lis *List) Export(now time.Time) []crash.Crash {
-	var all []crash.Crash
-	for _, sus := range lis.entries {
-		if !lis.expired(sus, now) {
-			all = append(all, sus.crashes...)
+// Revision returns the revision of the latest change of the list.
+func (lis *List) Revision() uint64 { return lis.revision }
+
+// Export returns the oldest changes to send to another node that has all up to a revision, at most maxExported, and the
+// revision that it has then. Changes that were imported come from a node that sends them itself, unless the other node
+// became known later, at the revision joined.
+func (lis *List) Export(after, joined uint64, now time.Time) ([]record.Record, uint64) {
+	revision := func(sus suspect) uint64 { return sus.localRevision }
+	if after < joined {
+		revision = func(sus suspect) uint64 { return sus.revision }
+	}
+	var changed []uint64
+	for fin, sus := range lis.entries {
+		if revision(sus) > after && !lis.expired(sus, now) {
+			changed = append(changed, fin)
 		}
 	}
-	slices.SortFunc(all, func(cra, other crash.Crash) int {
-		return cmp.Or(cra.At.Compare(other.At), cmp.Compare(cra.Fingerprint, other.Fingerprint))
+	slices.SortFunc(changed, func(fin, other uint64) int {
+		return cmp.Compare(revision(lis.entries[fin]), revision(lis.entries[other]))
 	})
-	return all
+	upTo := lis.revision
+	if len(changed) > maxExported {
+		changed = changed[:maxExported]
+		upTo = revision(lis.entries[changed[maxExported-1]])
+	}
+	records := make([]record.Record, 0, len(changed))
+	for _, fin := range changed {
+		sus := lis.entries[fin]
+		records = append(records, record.Record{Fingerprint: fin, Crashes: sus.crashes, Cleared: sus.cleared})
+	}
+	return records, upTo
 }
 
-// Import merges crashes that other nodes exported; a crash counts once however often it is received.
-func (lis *List) Import(crashes []crash.Crash, now time.Time) {
-	for _, cra := range crashes {
-		lis.add(cra, now)
+// Import merges records that another node exported; a crash counts once however often it is received.
+func (lis *List) Import(records []record.Record, now time.Time) {
+	for _, rec := range records {
+		lis.update(rec.Fingerprint, now, true, func(sus *suspect) bool {
+			changed := sus.clear(rec.Cleared)
+			for _, cra := range rec.Crashes {
+				changed = lis.addCrash(sus, cra, now) || changed
+			}
+			return changed
+		})
 	}
 }
 
-func (lis *List) add(cra crash.Crash, now time.Time) {
-	sus, found := lis.entries[cra.Fingerprint]
+// update changes the record of a fingerprint. If the change has an effect, the record gets a new revision.
+func (lis *List) update(fingerprint uint64, now time.Time, imported bool, apply func(sus *suspect) bool) {
+	sus, found := lis.entries[fingerprint]
 	if found && lis.expired(sus, now) {
 		sus = suspect{}
 	}
-	known := slices.ContainsFunc(sus.crashes, func(other crash.Crash) bool { return other.ID == cra.ID })
-	if known || !cra.At.After(sus.cleared) || now.Sub(cra.At) >= lis.retention() {
+	if !apply(&sus) {
 		return
 	}
-	if len(sus.crashes) == maxCrashes {
-		sus.crashes = sus.crashes[1:]
+	lis.revision++
+	sus.revision = lis.revision
+	if !imported {
+		sus.localRevision = lis.revision
 	}
-	sus.crashes = append(slices.Clone(sus.crashes), cra)
-	lis.entries[cra.Fingerprint] = sus
+	lis.entries[fingerprint] = sus
 	if len(lis.entries) > maxFingerprints {
 		lis.evict(now)
 	}
 }
 
+// addCrash adds a crash to the record of its fingerprint, and reports whether it counts and is new.
+func (lis *List) addCrash(sus *suspect, cra crash.Crash, now time.Time) bool {
+	known := slices.ContainsFunc(sus.crashes, func(other crash.Crash) bool { return other.ID == cra.ID })
+	if known || !cra.At.After(sus.cleared) || now.Sub(cra.At) >= lis.retention() {
+		return false
+	}
+	kept := sus.crashes[max(0, len(sus.crashes)+1-maxCrashes):]
+	sus.crashes = append(slices.Clone(kept), cra)
+	return true
+}
+
+// clear discards the crashes up to a time, and reports whether that is later than the last one at which it was called.
+func (sus *suspect) clear(at time.Time) bool {
+	if !at.After(sus.cleared) {
+		return false
+	}
+	sus.cleared = at
+	sus.crashes = slices.DeleteFunc(slices.Clone(sus.crashes), func(cra crash.Crash) bool { return !cra.At.After(at) })
+	return true
+}
+
 // evict removes the expired entries or, if there are none, one with the fewest crashes.
 func (lis *List) evict(now time.Time) {
 	maps.DeleteFunc(lis.entries, func(_ uint64, sus suspect) bool { return lis.expired(sus, now) })
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"flamingoreach/core/crash"
+	"flamingoreach/core/crash/record"
 	"flamingoreach/core/quarantine"
 )
 
@@ -20,25 +21,39 @@
 	}
 }
 
+// exported returns all records of a list, in the steps in which it exports them.
+func exported(lis *quarantine.List) []record.Record {
+	var all []record.Record
+	for after := uint64(0); after < lis.Revision(); {
+		var records []record.Record
+		records, after = lis.Export(after, lis.Revision(), time.Now())
+		all = append(all, records...)
+	}
+	return all
+}
+
+// pass passes all records of one list to another.
+func pass(from, to *quarantine.List) { to.Import(exported(from), time.Now()) }
+
 func TestAFingerprintIsRefusedOnEveryNodeAfterItsSecondCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		first, second := quarantine.New(time.Minute), quarantine.New(time.Minute)
 		recordCrash(first, 7, 8)
-		second.Import(first.Export(time.Now()), time.Now())
-		second.Import(first.Export(time.Now()), time.Now())
+		pass(first, second)
+		pass(first, second)
 		require.False(t, second.Refuses(7, time.Now()), "one crash counts once")
 		second.Clear(8, time.Now())
-		second.Import(first.Export(time.Now()), time.Now())
+		pass(first, second)
 		time.Sleep(time.Second)
 		recordCrash(second, 7, 8)
 		require.True(t, second.Refuses(7, time.Now()))
 		require.False(t, second.Refuses(8, time.Now()), "a call with it ran to its end after the first crash")
-		first.Import(second.Export(time.Now()), time.Now())
+		pass(second, first)
 		require.True(t, first.Refuses(7, time.Now()))
 		time.Sleep(time.Minute)
 		require.False(t, first.Refuses(7, time.Now()))
 		time.Sleep(10 * time.Minute)
-		require.Empty(t, first.Export(time.Now()))
+		require.Empty(t, exported(first))
 	})
 }
 
@@ -73,6 +88,45 @@
 			recordCrash(lis, 1000+fin)
 		}
 		require.True(t, lis.Refuses(7, time.Now()))
-		require.Len(t, lis.Export(time.Now()), 4097, "2 crashes of one fingerprint and one of 4095 others")
+		crashes := 0
+		for _, rec := range exported(lis) {
+			crashes += len(rec.Crashes)
+		}
+		require.Equal(t, 4097, crashes, "2 crashes of one fingerprint and one of 4095 others")
+	})
+}
+
+// Guards against a content that is refused at the nodes that did not see it run to its end.
+func TestAClearedFingerprintIsClearedOnEveryNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second := quarantine.New(time.Minute), quarantine.New(time.Minute)
+		recordCrash(first, 7)
+		pass(first, second)
+		time.Sleep(time.Second)
+		second.Clear(7, time.Now())
+		pass(second, first)
+		time.Sleep(time.Second)
+		recordCrash(first, 7)
+		require.False(t, first.Refuses(7, time.Now()))
+		pass(first, second)
+		require.False(t, second.Refuses(7, time.Now()))
+	})
+}
+
+func TestOnlyANodeThatBecameKnownLaterGetsImportedRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second := quarantine.New(time.Minute), quarantine.New(time.Minute)
+		recordCrash(first, 7)
+		known := second.Revision()
+		pass(first, second)
+		records, upTo := second.Export(known, known, time.Now())
+		require.Empty(t, records, "the first node sends them itself")
+		require.Equal(t, second.Revision(), upTo)
+		recordCrash(second, 8)
+		pass(first, second)
+		records, _ = second.Export(known, known, time.Now())
+		require.Len(t, records, 1)
+		require.Equal(t, uint64(8), records[0].Fingerprint)
+		require.Len(t, exported(second), 2)
 	})
 }
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -1,8 +1,6 @@
 package view
 
 import (
-	"net/netip"
-
 	"flamingoreach/core/configuration"
 	"flamingoreach/core/directory"
 	"flamingoreach/core/keyowner"
@@ -47,12 +45,12 @@
 // All returns all members of a service, including those that take no new work.
 func (vie *View) All(service string) []member.Member { return vie.all[service] }
 
-// Peers returns the addresses of the other nodes of a service.
-func (vie *View) Peers(service string) []netip.AddrPort {
-	var peers []netip.AddrPort
+// Peers returns the other nodes of a service.
+func (vie *View) Peers(service string) []member.Member {
+	var peers []member.Member
 	for _, mem := range vie.all[service] {
 		if mem.ID != vie.Self.ID {
-			peers = append(peers, mem.Peer)
+			peers = append(peers, mem)
 		}
 	}
 	return peers
--- a/io/crashlink/crashlink.go
+++ b/io/crashlink/crashlink.go
@@ -6,10 +6,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
-
-	"flamingoreach/core/crash"
 	"flamingoreach/core/gate"
+	"flamingoreach/core/member"
 	"flamingoreach/core/outcome"
 	"flamingoreach/core/reason"
 	"flamingoreach/core/refusal"
@@ -18,84 +16,105 @@
 )
 
 const (
-	spreadCrashes = "SpreadCrashes"
-	// sendsPerCrash is the number of times that each crash is sent, so that a lost message does no harm.
-	sendsPerCrash = 3
-	sendInterval  = time.Second
+	shareCrashes = "ShareCrashes"
+	// retryInterval is the time until a message is sent again to a node that did not confirm it.
+	retryInterval = time.Second
+	// retryWait bounds the time for which AwaitSpread delays the answer to a call that may be retried: a round trip between
+	// regions takes less, and a node that does not answer must not hold up the retries.
+	retryWait = 100 * time.Millisecond
 )
 
-// Link sends the crashes that a gate has recorded to other nodes and receives theirs. It is control state: all methods
-// but AwaitSpread are called on the control thread only.
+// Link sends a gate's crash records to the other nodes of its service, each until the node confirms it, and receives
+// theirs. A node that becomes known gets all records. The link is control state: all methods but AwaitSpread and
+// FailedSends are called on the control thread only.
 type Link struct {
 	Dispatcher *dispatcher.Dispatcher
 	Client     *peer.Client
 	Server     *peer.Server
 	Gate       *gate.Gate
-	// Peers returns the addresses of the other nodes of the service.
-	Peers func() []netip.AddrPort
+	// Peers returns the other nodes of the service.
+	Peers func() []member.Member
 	// AskTimeout bounds one message, and the time for which AwaitSpread delays an answer.
 	AskTimeout time.Duration
 	// OnSendFailed, if set, is called with each message that another node did not confirm.
 	OnSendFailed func(peer netip.AddrPort, err error)
 
 	failedSends atomic.Uint64
-	// sent counts how often each crash was sent.
-	sent     map[uuid.UUID]int
-	lastSend time.Time
+	// recipients holds the other nodes of the service by member ID.
+	recipients map[string]*recipient
 	// inFlight counts the messages that were sent and not answered yet; done is closed once there are none.
 	inFlight int
 	done     chan struct{}
 }
 
+// recipient is what the link knows of another node.
+type recipient struct {
+	address netip.AddrPort
+	// joined is the revision of the gate's records at which the node became known, and confirmed the revision up to which
+	// it has them.
+	joined, confirmed uint64
+	inFlight          bool
+	retryAt           time.Time
+}
+
 // Register adds the link's ticker and its handler of messages; it must be called before the control thread starts.
 func (lin *Link) Register() {
-	lin.sent = map[uuid.UUID]int{}
-	lin.Dispatcher.Control.AddTicker(func() {
-		if time.Since(lin.lastSend) >= sendInterval {
-			lin.Send()
-		}
-	})
-	peer.Handle(lin.Server, spreadCrashes, func(ctx context.Context, crashes []crash.Crash) (struct{}, error) {
-		lin.Dispatcher.Post(ctx, "quarantine.heard", crashes, func() {
-			// Crashes that were received from another node are not sent on.
-			for _, cra := range crashes {
-				lin.sent[cra.ID] = sendsPerCrash
-			}
-			lin.Gate.AddCrashes(crashes)
+	lin.recipients = map[string]*recipient{}
+	lin.Dispatcher.Control.AddTicker(lin.Send)
+	peer.Handle(lin.Server, shareCrashes, func(ctx context.Context, messages []recordMessage) (struct{}, error) {
+		return dispatcher.OnControl(ctx, lin.Dispatcher, "quarantine.heard", messages, func() struct{} {
+			lin.Gate.AddCrashRecords(decodeRecords(messages, time.Now()))
+			return struct{}{}
 		})
-		return struct{}{}, nil
 	})
 }
 
-// Send sends the crashes that were sent fewer than sendsPerCrash times to all peers; it runs on the control thread.
+// Send sends each other node the records that it has not confirmed; it runs on the control thread.
 func (lin *Link) Send() {
-	lin.lastSend = time.Now()
-	var pending []crash.Crash
-	counts := map[uuid.UUID]int{}
-	for _, cra := range lin.Gate.Crashes() {
-		counts[cra.ID] = lin.sent[cra.ID]
-		if counts[cra.ID] < sendsPerCrash {
-			pending = append(pending, cra)
+	revision := lin.Gate.CrashRevision()
+	if revision == 0 {
+		return
+	}
+	known := make(map[string]*recipient, len(lin.recipients))
+	for _, mem := range lin.Peers() {
+		rec, found := lin.recipients[mem.ID]
+		if !found {
+			rec = &recipient{joined: revision}
 		}
+		rec.address = mem.Peer
+		known[mem.ID] = rec
 	}
-	for _, cra := range pending {
-		counts[cra.ID] = lin.sent[cra.ID] + 1
+	lin.recipients = known
+	for _, rec := range known {
+		if rec.confirmed < revision && !rec.inFlight && !time.Now().Before(rec.retryAt) {
+			lin.sendTo(rec)
+		}
 	}
-	lin.sent = counts
-	if len(pending) == 0 {
+}
+
+// sendTo sends a node the oldest records that it has not confirmed.
+func (lin *Link) sendTo(rec *recipient) {
+	records, upTo := lin.Gate.CrashRecords(rec.confirmed, rec.joined)
+	if len(records) == 0 {
+		rec.confirmed = upTo
 		return
 	}
-	for _, address := range lin.Peers() {
-		lin.begin()
-		dispatcher.Start(lin.Dispatcher, "quarantine.sent", lin.AskTimeout, func(ctx context.Context) (struct{}, error) {
-			return peer.Ask[[]crash.Crash, struct{}](ctx, lin.Client, address, spreadCrashes, pending)
-		}, func(_ struct{}, err error) {
-			if err != nil {
-				lin.countFailure(address, err)
-			}
-			lin.end()
-		})
-	}
+	address, messages := rec.address, encodeRecords(records, time.Now())
+	rec.inFlight = true
+	lin.begin()
+	dispatcher.Start(lin.Dispatcher, "quarantine.sent", lin.AskTimeout, func(ctx context.Context) (struct{}, error) {
+		return peer.Ask[[]recordMessage, struct{}](ctx, lin.Client, address, shareCrashes, messages)
+	}, func(_ struct{}, err error) {
+		rec.inFlight = false
+		if err != nil {
+			rec.retryAt = time.Now().Add(retryInterval)
+			lin.countFailure(address, err)
+		} else {
+			rec.confirmed = upTo
+			lin.Send()
+		}
+		lin.end()
+	})
 }
 
 // FailedSends returns the number of messages that another node did not confirm.
@@ -125,12 +144,21 @@
 }
 
 // AwaitSpread delays the answer to a call that may have crashed the backend server until the other nodes of the service
-// know of the crash, for AskTimeout at most. Otherwise the caller's retry could reach them before they do.
+// know of the crash: for AskTimeout at most, or for retryWait if the call may be retried. Otherwise a retry could reach
+// them before they do.
 func (lin *Link) AwaitSpread(ctx context.Context, ref *refusal.Refusal) {
-	if ref == nil || ref.Reason != reason.Quarantined || ref.Outcome != outcome.Unknown {
+	if ref == nil || ref.Outcome != outcome.Unknown {
+		return
+	}
+	timeout := lin.AskTimeout
+	switch ref.Reason {
+	case reason.Quarantined:
+	case reason.BackendServerDown:
+		timeout = retryWait
+	default:
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, lin.AskTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	done, err := dispatcher.OnControl(ctx, lin.Dispatcher, "quarantine.awaited", nil, func() <-chan struct{} {
 		lin.Send()
--- /dev/null
+++ b/io/crashlink/crashlink_test.go
@@ -0,0 +1,160 @@
+package crashlink_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"flamingoreach/core/answer"
+	"flamingoreach/core/call"
+	"flamingoreach/core/control"
+	"flamingoreach/core/gate"
+	"flamingoreach/core/gatepolicy"
+	"flamingoreach/core/leader"
+	"flamingoreach/core/member"
+	"flamingoreach/core/reason"
+	"flamingoreach/core/refusal"
+	"flamingoreach/io/crashlink"
+	"flamingoreach/io/dispatcher"
+	"flamingoreach/io/peer"
+	"flamingoreach/io/tasks"
+)
+
+const (
+	testTime    = 10 * time.Second
+	fingerprint = 42
+)
+
+// node is a gate with its link. While unreachable is set, it answers no message.
+type node struct {
+	member      member.Member
+	gate        *gate.Gate
+	link        *crashlink.Link
+	unreachable atomic.Bool
+
+	mut   sync.Mutex
+	peers []member.Member
+}
+
+// know adds other nodes to the peers of a node.
+func (nod *node) know(others ...*node) {
+	nod.mut.Lock()
+	defer nod.mut.Unlock()
+	for _, other := range others {
+		nod.peers = append(nod.peers, other.member)
+	}
+}
+
+func (nod *node) knownPeers() []member.Member {
+	nod.mut.Lock()
+	defer nod.mut.Unlock()
+	return nod.peers
+}
+
+func newNode(t *testing.T) *node {
+	t.Helper()
+	nod := &node{gate: gate.New(gatepolicy.Policy{QuarantineTime: time.Minute, RetrySuspects: true})}
+	cli, ser := peer.NewPooledClient(), peer.NewServer()
+	cli.Leader = func() (string, leader.Leader, bool) { return "", leader.Leader{}, false }
+	cli.OnLeader = func(string, leader.Leader) {}
+	ser.Leader, ser.OnLeader = cli.Leader, cli.OnLeader
+	dis := &dispatcher.Dispatcher{Control: control.New(64), Tasks: tasks.New(8), Log: log.New(io.Discard)}
+	nod.link = &crashlink.Link{Dispatcher: dis, Client: cli, Server: ser, Gate: nod.gate, Peers: nod.knownPeers, AskTimeout: time.Second}
+	nod.link.Register()
+	handler := ser.Handler()
+	server := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		if nod.unreachable.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		handler.ServeHTTP(wri, req)
+	}))
+	nod.member = member.Member{ID: uuid.NewString(), Peer: netip.MustParseAddrPort(server.Listener.Addr().String())}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 2)
+	go func() { ended <- dis.Control.Run(ctx) }()
+	go func() { ended <- dis.Tasks.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		for range cap(ended) {
+			require.NoError(t, <-ended)
+		}
+		cli.Close()
+		server.Close()
+	})
+	return nod
+}
+
+// run runs a call with the fingerprint and returns its answer. The call crashes the backend server if crash is set.
+func (nod *node) run(t *testing.T, crash bool) answer.Answer {
+	t.Helper()
+	cal := call.Call{ID: uuid.New(), Root: uuid.New(), Fingerprint: fingerprint, Deadline: time.Now().Add(time.Second)}
+	ans, _ := nod.gate.Run(t.Context(), cal, func(context.Context) (answer.Answer, any) {
+		if !crash {
+			return answer.Answer{}, nil
+		}
+		nod.gate.Crashed()
+		nod.gate.SetState(gate.Warming)
+		return answer.Answer{Refusal: refusal.Unknown(reason.AnswerTruncated, "test")}, nil
+	})
+	nod.link.AwaitSpread(t.Context(), ans.Refusal)
+	return ans
+}
+
+func (nod *node) refuses() bool { return nod.gate.Stats().Quarantined == 1 }
+
+func TestAnotherNodeKnowsOfACrashBeforeItsCallEnds(t *testing.T) {
+	first, second := newNode(t), newNode(t)
+	first.know(second)
+	second.know(first)
+	require.Equal(t, reason.BackendServerDown, first.run(t, true).Refusal.Reason)
+	require.Equal(t, reason.Quarantined, second.run(t, true).Refusal.Reason, "the second crash is known to be one")
+	require.True(t, first.refuses())
+}
+
+// Guards against a node that never learns of a crash because it was out of reach while the crash was sent.
+func TestACrashIsSentUntilItIsConfirmed(t *testing.T) {
+	first, second := newNode(t), newNode(t)
+	first.know(second)
+	second.unreachable.Store(true)
+	first.run(t, true)
+	first.run(t, true)
+	require.Eventually(t, func() bool { return first.link.FailedSends() >= 4 }, testTime, 10*time.Millisecond)
+	second.unreachable.Store(false)
+	require.Eventually(t, second.refuses, testTime, 10*time.Millisecond)
+}
+
+// Guards against a restarted node, and one that becomes known, that knows nothing of the crashes before.
+func TestANodeThatBecomesKnownLearnsWhatOthersWereTold(t *testing.T) {
+	first, second, third := newNode(t), newNode(t), newNode(t)
+	first.know(second)
+	first.run(t, true)
+	first.run(t, true)
+	require.True(t, second.refuses())
+	second.know(third)
+	require.Eventually(t, third.refuses, testTime, 10*time.Millisecond)
+}
+
+// Guards against a content that one node refuses although it ran to its end at another one.
+func TestAnAnswerClearsAContentAtAllNodes(t *testing.T) {
+	first, second := newNode(t), newNode(t)
+	first.know(second)
+	second.know(first)
+	first.run(t, true)
+	require.Nil(t, second.run(t, false).Refusal)
+	require.Eventually(t, func() bool {
+		records, _ := first.gate.CrashRecords(0, first.gate.CrashRevision())
+		return len(records) == 1 && len(records[0].Crashes) == 0
+	}, testTime, 10*time.Millisecond)
+	first.run(t, true)
+	require.False(t, first.refuses())
+}
--- a/io/hostnode/members.go
+++ b/io/hostnode/members.go
@@ -42,7 +42,7 @@
 	link.Register()
 	nod.crashLink = &crashlink.Link{
 		Dispatcher: nod.dispatcher, Client: nod.peerClient, Server: nod.peerServer, Gate: nod.gate, AskTimeout: askTimeout,
-		Peers: func() []netip.AddrPort { return nod.view.Load().Peers(nod.settings.Service) },
+		Peers: func() []member.Member { return nod.view.Load().Peers(nod.settings.Service) },
 		OnSendFailed: func(peer netip.AddrPort, err error) {
 			nod.gateLog.Write("crash not spread", "peer", peer, "error", err)
 		},
--- a/io/hostnode/node_test.go
+++ b/io/hostnode/node_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -217,6 +218,36 @@
 	require.Nil(t, ans.Refusal)
 }
 
+// Guards against a crashing request that is unknown once each node of the service was restarted in turn.
+func TestRestartsInTurnDoNotReleaseACrashingRequest(t *testing.T) {
+	sto := newStore(testConfiguration(1))
+	hosts := startFleet(t, sto, "quotes", "quotes")
+	var crashes atomic.Int64
+	for _, hos := range hosts {
+		hos.setRun(func(_ context.Context, cal call.Call) (answer.Answer, message.Message) {
+			crashes.Add(1)
+			hos.HandleRefusedConnection(hos.announcement(localserver.Serving, 1))
+			ans := completeAnswer(cal)
+			ans.Refusal = refusal.Unknown(reason.AnswerTruncated, "test")
+			return ans, message.Message{}
+		})
+	}
+	hosts[0].ask(t.Context(), "a", "/quotes/poison", bearer)
+	require.Equal(t, int64(2), crashes.Load())
+	for _, hos := range hosts {
+		hos.stop()
+		require.NoError(t, <-hos.end)
+		hos.start(t, sto)
+		require.Eventually(t, func() bool { return hos.AcceptsCalls() && len(hos.View().All("quotes")) == len(hosts) }, testTime, 20*time.Millisecond)
+		time.Sleep(time.Second)
+	}
+	for _, hos := range hosts {
+		ans, _ := hos.ask(t.Context(), "again", "/quotes/poison", bearer)
+		require.Equal(t, reason.Quarantined, ans.Refusal.Reason)
+	}
+	require.Equal(t, int64(2), crashes.Load())
+}
+
 func TestARefusalIsLoggedWithTheRequestIDAndTheReason(t *testing.T) {
 	var out bytes.Buffer
 	set := testSettings("h0", "quotes")
--- a/io/hostnode/server.go
+++ b/io/hostnode/server.go
@@ -66,6 +66,7 @@
 	nod.localServer.Drain = func() { nod.gate.SetState(gate.Draining) }
 	nod.localServer.Crash = func() {
 		nod.gate.Crashed()
+		nod.crashLink.Send()
 		nod.platform.CloseIdle()
 	}
 	nod.localServer.OnAlive = nod.gate.ConfirmAlive
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -297,7 +297,7 @@
 	nod.peerServer.RunCall = nod.runAtGate
 	nod.crashLink = &crashlink.Link{
 		Dispatcher: nod.dispatcher, Client: nod.peerClient, Server: nod.peerServer, Gate: nod.gate, AskTimeout: askTimeout,
-		Peers: func() []netip.AddrPort { return nod.view.Load().Peers(nod.settings.Node.Service) },
+		Peers: func() []member.Member { return nod.view.Load().Peers(nod.settings.Node.Service) },
 	}
 	nod.setUpMembers()
 	nod.setUpLeadership()
--- a/measure/ingressrig/host.go
+++ b/measure/ingressrig/host.go
@@ -232,7 +232,8 @@
 		time.Sleep(crashDelay)
 		for _, mem := range hos.rig.members[hos.member.Service] {
 			if mem.ID != hos.member.ID {
-				hos.rig.hosts[mem.ID].gat.AddCrashes(hos.gat.Crashes())
+				records, _ := hos.gat.CrashRecords(0, hos.gat.CrashRevision())
+				hos.rig.hosts[mem.ID].gat.AddCrashRecords(records)
 			}
 		}
 		time.Sleep(restartTime - crashDelay)
