Leave out entries of other writers that no node can have announced

What operators saw, elsewhere: one odd entry of another writer, very deeply nested, with a number too large or with a port out of range, ended the machines that read the list or kept them from following it.

Seen here: deep nesting, numbers too large for their type and ports out of range were left out already.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // Member is one node's entry in the membership list.
@@ -23,3 +25,29 @@
 	// Started is when the node started, by its own clock.
 	Started time.Time `json:"started" cbor:"9,keyasint"`
 }
+
+const (
+	// maxIDBytes is longer than any ID that a node takes.
+	maxIDBytes = 200
+	// MaxSlots bounds the slots of a backend server: each running call has a connection with a port of its own.
+	MaxSlots = 1<<16 - 1
+	// maxIncarnation cannot be reached by counting changes.
+	maxIncarnation = 1 << 48
+)
+
+// Validate returns an error if no node can have announced the entry.
+func (mem Member) Validate() error {
+	switch {
+	case mem.ID == "" || len(mem.ID) > maxIDBytes:
+		return eris.Errorf("member: the ID has %d bytes", len(mem.ID))
+	case !mem.Peer.IsValid() || mem.Peer.Port() == 0 || mem.Peer.Addr().IsUnspecified() || mem.Peer.Addr().IsMulticast():
+		return eris.Errorf("member: no node listens at %q", mem.Peer)
+	case mem.DataCentre == "":
+		return eris.New("member: the data centre is missing")
+	case mem.Slots < 0 || mem.Slots > MaxSlots:
+		return eris.Errorf("member: %d slots", mem.Slots)
+	case mem.Incarnation > maxIncarnation:
+		return eris.Errorf("member: incarnation %d", mem.Incarnation)
+	}
+	return nil
+}
--- a/core/membership/list_test.go
+++ b/core/membership/list_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"net/netip"
 	"slices"
 	"testing"
@@ -16,6 +17,7 @@
 	"flamingoreach/core/member"
 	"flamingoreach/core/membership"
 	"flamingoreach/core/membership/change"
+	"flamingoreach/core/membership/exchange"
 	"flamingoreach/core/membership/memberrow"
 	"flamingoreach/core/membership/probe"
 	"flamingoreach/core/membership/update"
@@ -364,6 +366,36 @@
 	})
 }
 
+// Guards against an entry of another writer that no node has announced, in a row or passed on by another node.
+func TestEntriesThatNoNodeHasAnnouncedAreNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bu := newBus(14)
+		nodes := bu.addAll("ams-a", 2)
+		settle(t, bu)
+		for name, change := range map[string]func(row *memberrow.Row){
+			"port 0":               func(row *memberrow.Row) { row.Member.Peer = netip.MustParseAddrPort("10.9.9.9:0") },
+			"no ID":                func(row *memberrow.Row) { row.Member.ID = "" },
+			"no data centre":       func(row *memberrow.Row) { row.Member.DataCentre = "" },
+			"a billion slots":      func(row *memberrow.Row) { row.Member.Slots = 1_000_000_000 },
+			"the last incarnation": func(row *memberrow.Row) { row.Member.Incarnation = math.MaxUint64 },
+			"own last incarnation": func(row *memberrow.Row) {
+				row.Member.ID, row.Member.Incarnation = nodes[0].list.Self().ID, math.MaxUint64
+			},
+			"far ahead": func(row *memberrow.Row) { row.Refreshed = time.Now().Add(24 * time.Hour) },
+		} {
+			row := memberrow.Row{Member: benchMember(1), Refreshed: time.Now()}
+			change(&row)
+			nodes[0].list.RowsRead([]memberrow.Row{row})
+			require.Len(t, nodes[0].list.Members(), 2, "%s in a row", name)
+			if name != "far ahead" {
+				nodes[0].list.ExchangeReceived(exchange.Exchange{Sender: "x", Updates: []update.Update{{Member: row.Member, Liveness: "alive"}}})
+				require.Len(t, nodes[0].list.Members(), 2, "%s from a node", name)
+			}
+		}
+		require.Less(t, nodes[0].list.Self().Incarnation, uint64(100))
+	})
+}
+
 // addRestartedFleet starts four data centres of four nodes at once. The table also has rows of 16 earlier nodes at the
 // same addresses, which died without deleting them.
 func addRestartedFleet(bu *bus) {
--- a/core/membership/merge.go
+++ b/core/membership/merge.go
@@ -90,11 +90,11 @@
 	return mer.kept && mer.isUpdateOutdated()
 }
 
-// isValidUpdate rejects updates that no node of this version sends.
+// isValidUpdate rejects updates that no node of this version sends. They may come from a row of another writer.
 func isValidUpdate(upd update.Update) bool {
 	switch upd.Liveness {
 	case alive, suspect, dead, left:
-		return upd.Member.ID != "" && upd.Member.Peer.IsValid()
+		return upd.Member.Validate() == nil
 	}
 	return false
 }
--- a/core/membership/rows.go
+++ b/core/membership/rows.go
@@ -17,6 +17,9 @@
 	rowLifetime = 3 * rowInterval
 	// rowRetention is the age from which a row is deleted by any node of its data centre that reads it.
 	rowRetention = time.Hour
+	// maxClockLead is how far ahead of this host's clock that of a row's writer may be. A row from further ahead would be
+	// taken to be fresh for as long.
+	maxClockLead = time.Minute
 	// jitterSteps is the number of different values of a random time.
 	jitterSteps = 1000
 )
@@ -28,7 +31,7 @@
 	for _, row := range rows {
 		age := now.Sub(row.Refreshed)
 		switch {
-		case row.Member.ID == lis.self.member.ID:
+		case row.Member.ID == lis.self.member.ID, age < -maxClockLead:
 		case lis.shouldDeleteRow(row):
 			// The row should have been deleted when the member died; that deletion failed or was lost.
 			lis.counts.RowsDeleted++
