Take a refusal without an ID for an answer on new connections only

What callers saw, elsewhere: 'not run, try again' for requests that a backend server had run or was running, after a faulty one had written an earlier refusal once more on a kept connection; or such a request ran twice.

Cause: answers carry the ID of their request, and an earlier refusal with its ID was skipped. One without an ID was taken for the answer to the request in hand, whatever had been sent on the connection before.

Ruled out: that refusals lack the ID in practice.

Change: a refusal without an ID counts only as the answer to the first request of a connection, where there is no earlier one. On a kept connection it is skipped like any answer to another request; if no answer follows, the outcome is unknown.

--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -43,6 +43,8 @@
 	writer *bufio.Writer
 	// idleUntil is the time from which an idle connection must not be used again.
 	idleUntil time.Time
+	// used is set once an exchange has begun.
+	used bool
 }
 
 func newConnection(con net.Conn) *connection {
@@ -65,13 +67,15 @@
 
 // exchange sends a request and reads its answer; the connection must not be used again unless reusable is true.
 func (con *connection) exchange(ctx context.Context, req *http.Request, rul Rules) (res Response, reusable bool, err error) {
+	firstRequest := !con.used
+	con.used = true
 	stop := context.AfterFunc(ctx, func() { _ = con.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	written, err := con.send(req)
 	if err != nil && written == nil {
 		return Response{}, false, &Failure{Stage: Waiting, Cause: err}
 	}
-	res, keepAlive, err := con.receive(req, rul)
+	res, keepAlive, err := con.receive(req, rul, firstRequest)
 	if err != nil {
 		return Response{}, false, err
 	}
@@ -101,7 +105,7 @@
 }
 
 // receive reads answers until it finds the one that belongs to the request.
-func (con *connection) receive(req *http.Request, rul Rules) (Response, bool, error) {
+func (con *connection) receive(req *http.Request, rul Rules, firstRequest bool) (Response, bool, error) {
 	for range maxAnswersPerRequest {
 		htr, err := http.ReadResponse(con.reader, req)
 		if err != nil {
@@ -117,7 +121,7 @@
 			return Response{}, false, &Failure{Stage: Reading, Cause: err}
 		case int64(len(body)) > rul.BodyBytes:
 			return Response{}, false, &Failure{Stage: Reading, Cause: errAnswerTooLong}
-		case rul.Belongs != nil && !rul.Belongs(htr):
+		case rul.Belongs != nil && !rul.Belongs(htr, firstRequest):
 			if htr.Close {
 				return Response{}, false, &Failure{Stage: Waiting, Cause: errNoMatchingAnswer}
 			}
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -17,8 +17,9 @@
 type Rules struct {
 	// BodyBytes bounds an answer's body.
 	BodyBytes int64
-	// Belongs, if set, reports whether an answer is that of the request; others are skipped.
-	Belongs func(res *http.Response) bool
+	// Belongs, if set, reports whether an answer is that of the request; others are skipped. On the first request of a
+	// connection, no answer can be that of an earlier one.
+	Belongs func(res *http.Response, firstRequest bool) bool
 }
 
 // Response is a complete answer.
--- a/io/http1/pool_test.go
+++ b/io/http1/pool_test.go
@@ -80,7 +80,7 @@
 	}
 	return pl.Exchange(ctx, address, req, http1.Rules{
 		BodyBytes: 1 << 20,
-		Belongs:   func(res *http.Response) bool { return res.Header.Get("Id") == id },
+		Belongs:   func(res *http.Response, _ bool) bool { return res.Header.Get("Id") == id },
 	})
 }
 
@@ -247,7 +247,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
 	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address.String(), Opaque: "/"}, Header: http.Header{}}
-	_, err := pl.Exchange(ctx, address, req, http1.Rules{BodyBytes: 1, Belongs: func(*http.Response) bool { return true }})
+	_, err := pl.Exchange(ctx, address, req, http1.Rules{BodyBytes: 1, Belongs: func(*http.Response, bool) bool { return true }})
 	require.True(t, errors.Is(err, context.DeadlineExceeded) || err != nil)
 	select {
 	case <-closed:
