Give up an answer without end

What operators saw, elsewhere: a server in trouble sends bytes that are no answer, without end, in a head or a body, until the caller closes.

Cause: nothing bounded the head of an answer of a backend server or of another node, so that a status line, a field, fields or fields of an interim answer without end took up memory until the deadline of the call. An answer in chunks was bounded, and then its Close read the rest of it until the deadline. A body of unknown length took up to 64 MiB, twice while it was copied; a few of them exceed the memory of the smallest host.

Bounded already: the number of answers to one request, chunk extensions, trailers, a body beyond its length, and the heads of callers' requests.

A body is closed only if it was read to its end.

--- a/cmd/flamingoreach-host/command/command.go
+++ b/cmd/flamingoreach-host/command/command.go
@@ -32,6 +32,8 @@
 	maxWaitingLines = 1024
 	// bodyBytes bounds the body of a request or an answer: the largest size that the operators allow callers to send.
 	bodyBytes = 64 << 20
+	// unsizedDivisor divides the memory of the process to get the bound of all answers of unknown length together.
+	unsizedDivisor = 8
 	// bodyTime bounds the time for reading the body of a request that states no timeout.
 	bodyTime = 30 * time.Second
 	// backendDialTimeout is ample for connecting to a live process on the same host.
@@ -111,6 +113,7 @@
 	store := platform.NewStore(set.Store)
 	defer store.Close()
 	pool := http1.NewPool(backendDialTimeout)
+	pool.LimitUnsized(set.MemoryBytes / unsizedDivisor)
 	backend := &platform.BackendServer{Pool: pool, BodyBytes: bodyBytes}
 	nod := hostnode.New(set, hostnode.Platform{
 		ReadConfiguration: store.ReadConfiguration, FollowConfiguration: store.FollowConfiguration,
--- a/io/backendserver/client.go
+++ b/io/backendserver/client.go
@@ -26,6 +26,8 @@
 	dialTimeout     = time.Second
 	idleConnections = 1024
 	idleTimeout     = 30 * time.Second
+	// headerBytes bounds the header of one answer.
+	headerBytes = 64 << 10
 )
 
 // Client sends calls to the local backend server.
@@ -51,6 +53,8 @@
 			MaxIdleConnsPerHost: idleConnections,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: headerBytes,
 		},
 	}
 }
--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -24,6 +25,9 @@
 	// subtracted from a stated timeout, because a close by the other end takes a while to arrive.
 	idleTime   = 5 * time.Second
 	idleMargin = 500 * time.Millisecond
+	// headBytes bounds the heads of all answers that are read for one request. The part of a body or of its framing that is
+	// in the connection's buffer by then counts too.
+	headBytes = 64 << 10
 	// maxAnswersPerRequest bounds the answers that are read for one request, with those to earlier requests and interim
 	// ones (1xx).
 	maxAnswersPerRequest = 4
@@ -32,6 +36,7 @@
 // The texts of these errors are sent on to the node that asked for a relayed probe (see peer.Ask).
 var (
 	errAnswerTooLong    = errors.New("the answer is longer than the bound")
+	errHeadTooLong      = errors.New("the heads of the answers are longer than the bound")
 	errNoMatchingAnswer = errors.New("too many answers belong to other requests")
 )
 
@@ -39,6 +44,8 @@
 type connection struct {
 	net.Conn
 
+	// head bounds what the reader reads while it looks for the end of a head.
+	head   *headLimit
 	reader *bufio.Reader
 	writer *bufio.Writer
 	// idleUntil is the time from which an idle connection must not be used again.
@@ -47,8 +54,30 @@
 	used bool
 }
 
+// headLimit is a reader that fails while on is set and no bytes are left.
+type headLimit struct {
+	io.Reader
+
+	on   bool
+	left int
+}
+
+// Read reads at most the bytes that are left.
+func (lim *headLimit) Read(into []byte) (int, error) {
+	if !lim.on {
+		return lim.Reader.Read(into)
+	}
+	if lim.left == 0 {
+		return 0, errHeadTooLong
+	}
+	count, err := lim.Reader.Read(into[:min(len(into), lim.left)])
+	lim.left -= count
+	return count, err
+}
+
 func newConnection(con net.Conn) *connection {
-	return &connection{Conn: con, reader: bufio.NewReaderSize(con, bufferBytes), writer: bufio.NewWriterSize(con, bufferBytes)}
+	lim := &headLimit{Reader: con}
+	return &connection{Conn: con, head: lim, reader: bufio.NewReaderSize(lim, bufferBytes), writer: bufio.NewWriterSize(con, bufferBytes)}
 }
 
 // usable reports whether an idle connection may carry another request: its idle time has not passed, and the other end
@@ -66,7 +95,7 @@
 }
 
 // exchange sends a request and reads its answer; the connection must not be used again unless reusable is true.
-func (con *connection) exchange(ctx context.Context, req *http.Request, rul Rules) (res Response, reusable bool, err error) {
+func (con *connection) exchange(ctx context.Context, req *http.Request, rul Rules, roo *room) (res Response, reusable bool, err error) {
 	firstRequest := !con.used
 	con.used = true
 	stop := context.AfterFunc(ctx, func() { _ = con.SetDeadline(time.Unix(1, 0)) })
@@ -75,7 +104,7 @@
 	if err != nil && written == nil {
 		return Response{}, false, &Failure{Stage: Waiting, Cause: err}
 	}
-	res, keepAlive, err := con.receive(req, rul, firstRequest)
+	res, keepAlive, err := con.receive(req, rul, firstRequest, roo)
 	if err != nil {
 		return Response{}, false, err
 	}
@@ -105,23 +134,28 @@
 }
 
 // receive reads answers until it finds the one that belongs to the request.
-func (con *connection) receive(req *http.Request, rul Rules, firstRequest bool) (Response, bool, error) {
+func (con *connection) receive(req *http.Request, rul Rules, firstRequest bool, roo *room) (Response, bool, error) {
+	con.head.left = headBytes
 	for range maxAnswersPerRequest {
+		con.head.on = true
 		htr, err := http.ReadResponse(con.reader, req)
+		con.head.on = false
 		if err != nil {
 			return Response{}, false, &Failure{Stage: Waiting, Cause: err}
 		}
 		if htr.StatusCode < http.StatusOK {
 			continue
 		}
-		body, err := readBody(htr, rul.BodyBytes)
-		_ = htr.Body.Close()
+		body, err := readBody(htr, rul.BodyBytes, roo)
 		switch {
 		case err != nil:
 			return Response{}, false, &Failure{Stage: Reading, Cause: err}
 		case int64(len(body)) > rul.BodyBytes:
 			return Response{}, false, &Failure{Stage: Reading, Cause: errAnswerTooLong}
-		case rul.Belongs != nil && !rul.Belongs(htr, firstRequest):
+		}
+		// Only a body that was read to its end is closed: Close reads the rest of it, which may be without end.
+		_ = htr.Body.Close()
+		if rul.Belongs != nil && !rul.Belongs(htr, firstRequest) {
 			if htr.Close {
 				return Response{}, false, &Failure{Stage: Waiting, Cause: errNoMatchingAnswer}
 			}
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -36,12 +36,17 @@
 	// MaxIdle, if set, bounds the idle connections.
 	MaxIdle int
 
+	room    room
 	mut     sync.Mutex
 	address netip.AddrPort
 	// idle is in the order of last use, the most recently used connection last.
 	idle []*connection
 }
 
+// LimitUnsized bounds the bodies of unknown length that are read at the same time, all together; it must be called before
+// the first exchange.
+func (pl *Pool) LimitUnsized(bytes int64) { pl.room.max = bytes }
+
 // NewPool returns a pool without connections, with a bound on the time to connect.
 func NewPool(dialTimeout time.Duration) *Pool {
 	dialer := tcpoptions.Dialer(dialTimeout)
@@ -57,7 +62,7 @@
 	if err != nil {
 		return Response{}, &Failure{Stage: Connecting, Refused: errors.Is(err, syscall.ECONNREFUSED), Cause: err}
 	}
-	res, reusable, err := con.exchange(ctx, req, rul)
+	res, reusable, err := con.exchange(ctx, req, rul, &pl.room)
 	if !reusable || !pl.put(address, con) {
 		_ = con.Close()
 	}
--- a/io/http1/pool_test.go
+++ b/io/http1/pool_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -255,3 +256,85 @@
 		t.Fatal("the backend server's connection is still open")
 	}
 }
+
+// writeWithoutEnd writes a text and then a filler again and again, until the connection breaks or maxWritten bytes are
+// written; it reports how many were. The client must have closed the connection long before.
+func writeWithoutEnd(con net.Conn, text, filler string, written *atomic.Int64) {
+	const maxWritten = 64 << 20
+	block := []byte(strings.Repeat(filler, 16<<10/len(filler)+1))
+	count, err := io.WriteString(con, text)
+	for err == nil && written.Add(int64(count)) < maxWritten {
+		count, err = con.Write(block)
+	}
+	if err == nil {
+		time.Sleep(testTime)
+	}
+}
+
+// Guards against an answer without end that takes up the memory of the process until its caller gives up.
+func TestAnAnswerWithoutEndIsGivenUp(t *testing.T) {
+	const unsized = 1 << 20
+	for name, test := range map[string]struct{ text, filler string }{
+		"status line":     {"HTTP/1.1 200 ", "x"},
+		"field":           {"HTTP/1.1 200 OK\r\nId: ", "x"},
+		"fields":          {"HTTP/1.1 200 OK\r\n", "Id: a\r\n"},
+		"continued field": {"HTTP/1.1 200 OK\r\nId: a\r\n", " x\r\n"},
+		"interim answers": {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+		"interim fields":  {"HTTP/1.1 102 Processing\r\n", "Id: a\r\n"},
+		"other answers":   {"", "HTTP/1.1 200 OK\r\nId: z\r\nContent-Length: 0\r\n\r\n"},
+		"no answer":       {"", "\x00\r\n"},
+		"body":            {"HTTP/1.1 200 OK\r\nId: a\r\n\r\n", "x"},
+		"chunks":          {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nhalf\r\n"},
+		"chunk extension": {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n4;", "x"},
+		"trailers":        {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "Id: a\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var written atomic.Int64
+			address, _ := serve(t, func(con net.Conn, reader *bufio.Reader) {
+				_, _ = readRequest(reader)
+				writeWithoutEnd(con, test.text, test.filler, &written)
+			})
+			pl := http1.NewPool(time.Second)
+			pl.LimitUnsized(unsized)
+			defer pl.Close()
+			began := time.Now()
+			_, err := exchange(t, pl, address, "a", "")
+			require.Error(t, err)
+			require.Less(t, time.Since(began), testTime/2)
+			require.Less(t, written.Load(), int64(16<<20), "the rest of it waits in the buffers of the sockets")
+		})
+	}
+}
+
+// Guards against the memory that answers of unknown length take together.
+func TestAnswersOfUnknownLengthShareTheirRoom(t *testing.T) {
+	const unsized, callers = 3 << 20, 8
+	body := strings.Repeat("b", 1<<20)
+	release := make(chan struct{})
+	address, _ := serve(t, func(con net.Conn, reader *bufio.Reader) {
+		_, _ = readRequest(reader)
+		_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\nId: a\r\n\r\n"+body)
+		<-release
+	})
+	pl := http1.NewPool(time.Second)
+	pl.LimitUnsized(unsized)
+	defer pl.Close()
+	errs := make(chan error, callers)
+	for range callers {
+		go func() {
+			_, err := exchange(t, pl, address, "a", "")
+			errs <- err
+		}()
+	}
+	require.Error(t, <-errs, "there is no room for all")
+	close(release)
+	failed := 1
+	for range callers - 1 {
+		if <-errs != nil {
+			failed++
+		}
+	}
+	require.Less(t, failed, callers)
+	_, err := exchange(t, pl, address, "a", "")
+	require.NoError(t, err, "the room is free again")
+}
