Keep the crash records of a service in the platform's store

When all nodes of a service are gone at once, by a kill of many processes or a loss of power, nobody is left who knows of the crashes, and a crashing request ends two more backend servers, or as many as it reaches at that moment.

Change: nodes on the users' platform write the records of contents with two crashes or more to a table of the store, where what must last lives, and delete the row of a content that is cleared. A node reads the rows of its service at its start and deletes those too old to count. A row that cannot be decoded or lies in the future is left out. Where the store is away, the access is tried again every second; calls do not wait for it.

Result: TestTheLossOfAllNodesDoesNotReleaseACrashingRequest fails without the table (backendServerDown, not quarantined) and passes with it.

--- a/cmd/flamingoreach-host/command/command.go
+++ b/cmd/flamingoreach-host/command/command.go
@@ -118,6 +118,7 @@
 	nod := hostnode.New(set, hostnode.Platform{
 		ReadConfiguration: store.ReadConfiguration, FollowConfiguration: store.FollowConfiguration,
 		ReadMembers: store.ReadMembers, WriteMember: store.WriteMember, DeleteMember: store.DeleteMember,
+		ReadCrashRecords: store.ReadCrashRecords, WriteCrashRecords: store.WriteCrashRecords,
 		Execute: backend.Execute, Sweep: pool.Sweep, CloseIdle: pool.CloseIdle,
 	}, logger)
 	backend.OnRefused = nod.HandleRefusedConnection
--- a/core/gate/crash.go
+++ b/core/gate/crash.go
@@ -41,6 +41,21 @@
 	return gat.quarantine.Export(after, joined, time.Now())
 }
 
+// OwnCrashRecords returns the crash records that have changed after a revision and hold crashes or clearings of this gate,
+// and the revision up to which it has returned all.
+func (gat *Gate) OwnCrashRecords(after uint64) ([]record.Record, uint64) {
+	gat.mut.Lock()
+	defer gat.mut.Unlock()
+	return gat.quarantine.ExportOwn(after, time.Now())
+}
+
+// KnowsCrashes reports whether there is a crash record of a fingerprint.
+func (gat *Gate) KnowsCrashes(fingerprint uint64) bool {
+	gat.mut.Lock()
+	defer gat.mut.Unlock()
+	return gat.quarantine.Knows(fingerprint)
+}
+
 // AddCrashRecords merges crash records that were received from another node.
 func (gat *Gate) AddCrashRecords(records []record.Record) {
 	gat.mut.Lock()
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -93,10 +93,31 @@
 // revision that it has then. Changes that were imported come from a node that sends them itself, unless the other node
 // became known later, at the revision joined.
 func (lis *List) Export(after, joined uint64, now time.Time) ([]record.Record, uint64) {
-	revision := func(sus suspect) uint64 { return sus.localRevision }
 	if after < joined {
-		revision = func(sus suspect) uint64 { return sus.revision }
+		return lis.export(after, now, func(sus suspect) uint64 { return sus.revision })
 	}
+	return lis.export(after, now, func(sus suspect) uint64 { return sus.localRevision })
+}
+
+// ExportOwn is like Export, for the records to which this list has added crashes or clearings of its own.
+func (lis *List) ExportOwn(after uint64, now time.Time) ([]record.Record, uint64) {
+	return lis.export(after, now, func(sus suspect) uint64 {
+		if sus.localRevision == 0 {
+			return 0
+		}
+		return sus.revision
+	})
+}
+
+// Knows reports whether the list has a record of a fingerprint.
+func (lis *List) Knows(fingerprint uint64) bool {
+	_, known := lis.entries[fingerprint]
+	return known
+}
+
+// export returns the oldest records with a revision above a given one, at most maxExported, and the revision up to which
+// it has returned all.
+func (lis *List) export(after uint64, now time.Time, revision func(sus suspect) uint64) ([]record.Record, uint64) {
 	var changed []uint64
 	for fin, sus := range lis.entries {
 		if revision(sus) > after && !lis.expired(sus, now) {
--- a/io/crashlink/crashlink.go
+++ b/io/crashlink/crashlink.go
@@ -38,6 +38,8 @@
 	AskTimeout time.Duration
 	// OnSendFailed, if set, is called with each message that another node did not confirm.
 	OnSendFailed func(peer netip.AddrPort, err error)
+	// Table, if set, keeps the records of contents in quarantine, so that they outlast all nodes of the service.
+	Table *Table
 
 	failedSends atomic.Uint64
 	// recipients holds the other nodes of the service by member ID.
@@ -61,6 +63,9 @@
 func (lin *Link) Register() {
 	lin.recipients = map[string]*recipient{}
 	lin.Dispatcher.Control.AddTicker(lin.Send)
+	if lin.Table != nil {
+		lin.Dispatcher.Control.AddTicker(func() { lin.Table.tick(lin) })
+	}
 	peer.Handle(lin.Server, shareCrashes, func(ctx context.Context, messages []recordMessage) (struct{}, error) {
 		return dispatcher.OnControl(ctx, lin.Dispatcher, "quarantine.heard", messages, func() struct{} {
 			lin.Gate.AddCrashRecords(decodeRecords(messages, time.Now()))
--- a/io/crashlink/doc.go
+++ b/io/crashlink/doc.go
@@ -1,2 +1,3 @@
-// Package crashlink sends to the other nodes of a service which calls were running when a backend server crashed.
+// Package crashlink shares a gate's crash records with the other nodes of its service, and keeps them in a table of the
+// platform.
 package crashlink
--- a/io/hostnode/fleet_test.go
+++ b/io/hostnode/fleet_test.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -21,6 +23,7 @@
 	"flamingoreach/core/clientaccount"
 	"flamingoreach/core/configuration"
 	"flamingoreach/core/configurationfeed/reading"
+	"flamingoreach/core/crash/record"
 	"flamingoreach/core/keyhash"
 	"flamingoreach/core/localserver"
 	"flamingoreach/core/membership/memberrow"
@@ -45,10 +48,11 @@
 	current configuration.Configuration
 	changed chan struct{}
 	rows    map[string]memberrow.Row
+	crashes map[uint64]record.Record
 }
 
 func newStore(cfg configuration.Configuration) *store {
-	return &store{current: cfg, changed: make(chan struct{}), rows: map[string]memberrow.Row{}}
+	return &store{current: cfg, changed: make(chan struct{}), rows: map[string]memberrow.Row{}, crashes: map[uint64]record.Record{}}
 }
 
 func (sto *store) put(cfg configuration.Configuration) {
@@ -126,6 +130,19 @@
 			delete(sto.rows, id)
 			return nil
 		},
+		ReadCrashRecords: func(context.Context, string, func(string, error)) ([]record.Record, error) {
+			sto.mut.Lock()
+			defer sto.mut.Unlock()
+			return slices.Collect(maps.Values(sto.crashes)), nil
+		},
+		WriteCrashRecords: func(_ context.Context, _ string, records []record.Record) error {
+			sto.mut.Lock()
+			defer sto.mut.Unlock()
+			for _, rec := range records {
+				sto.crashes[rec.Fingerprint] = rec
+			}
+			return nil
+		},
 		Execute: func(ctx context.Context, ann announcement.Announcement, cal call.Call, msg message.Message) (answer.Answer, message.Message) {
 			hos.runs.Add(1)
 			if run := hos.run.Load(); run != nil {
--- a/io/hostnode/members.go
+++ b/io/hostnode/members.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"flamingoreach/core/crash/record"
 	"flamingoreach/core/member"
 	"flamingoreach/core/membership"
 	"flamingoreach/core/membership/memberrow"
@@ -46,6 +47,18 @@
 		OnSendFailed: func(peer netip.AddrPort, err error) {
 			nod.gateLog.Write("crash not spread", "peer", peer, "error", err)
 		},
+		Table: &crashlink.Table{
+			Read: func(ctx context.Context) ([]record.Record, error) {
+				return nod.platform.ReadCrashRecords(ctx, nod.settings.Service, func(key string, err error) {
+					nod.log.Warn("crash record ignored", "key", key, "error", err)
+				})
+			},
+			Write: func(ctx context.Context, records []record.Record) error {
+				return nod.platform.WriteCrashRecords(ctx, nod.settings.Service, records)
+			},
+			Timeout:  storeTimeout,
+			OnFailed: func(err error) { nod.gateLog.Write("crash records not kept", "error", err) },
+		},
 	}
 	nod.crashLink.Register()
 	nod.control.AddTicker(nod.tickMembers)
--- a/io/hostnode/node_test.go
+++ b/io/hostnode/node_test.go
@@ -248,6 +248,38 @@
 	require.Equal(t, int64(2), crashes.Load())
 }
 
+// Guards against a crashing request that is unknown once all nodes were gone at the same time.
+func TestTheLossOfAllNodesDoesNotReleaseACrashingRequest(t *testing.T) {
+	sto := newStore(testConfiguration(1))
+	hosts := startFleet(t, sto, "quotes", "quotes")
+	var crashes atomic.Int64
+	for _, hos := range hosts {
+		hos.setRun(func(_ context.Context, cal call.Call) (answer.Answer, message.Message) {
+			crashes.Add(1)
+			hos.HandleRefusedConnection(hos.announcement(localserver.Serving, 1))
+			ans := completeAnswer(cal)
+			ans.Refusal = refusal.Unknown(reason.AnswerTruncated, "test")
+			return ans, message.Message{}
+		})
+	}
+	hosts[0].ask(t.Context(), "a", "/quotes/poison", bearer)
+	require.Equal(t, int64(2), crashes.Load())
+	time.Sleep(time.Second)
+	for _, hos := range hosts {
+		hos.stop()
+	}
+	for _, hos := range hosts {
+		require.NoError(t, <-hos.end)
+		hos.start(t, sto)
+	}
+	for _, hos := range hosts {
+		require.Eventually(t, hos.AcceptsCalls, testTime, 20*time.Millisecond)
+		ans, _ := hos.ask(t.Context(), "again", "/quotes/poison", bearer)
+		require.Equal(t, reason.Quarantined, ans.Refusal.Reason)
+	}
+	require.Equal(t, int64(2), crashes.Load())
+}
+
 func TestARefusalIsLoggedWithTheRequestIDAndTheReason(t *testing.T) {
 	var out bytes.Buffer
 	set := testSettings("h0", "quotes")
--- a/io/hostnode/platform.go
+++ b/io/hostnode/platform.go
@@ -8,6 +8,7 @@
 	"flamingoreach/core/answer"
 	"flamingoreach/core/call"
 	"flamingoreach/core/configurationfeed/reading"
+	"flamingoreach/core/crash/record"
 	"flamingoreach/core/membership/memberrow"
 	"flamingoreach/io/message"
 )
@@ -24,6 +25,10 @@
 	ReadMembers  func(ctx context.Context, skipped func(key string, err error)) ([]memberrow.Row, error)
 	WriteMember  func(ctx context.Context, row memberrow.Row) error
 	DeleteMember func(ctx context.Context, id string) error
+	// ReadCrashRecords and WriteCrashRecords access the crash records of a service; skipped is called for each record that
+	// is ignored. Records without crashes are deleted.
+	ReadCrashRecords  func(ctx context.Context, service string, skipped func(key string, err error)) ([]record.Record, error)
+	WriteCrashRecords func(ctx context.Context, service string, records []record.Record) error
 	// Execute sends a call once to the backend server that the announcement describes.
 	Execute func(ctx context.Context, ann announcement.Announcement, cal call.Call, msg message.Message) (answer.Answer, message.Message)
 	// Sweep closes the connections to the backend server that were idle too long, and CloseIdle closes all idle ones.
