Tell a request that crosses the end of its connection that it did not run

Cause: the close of a listener ends a kept connection once nothing on it is unread and unanswered. A request that arrives between that check and the close is unread when the socket is closed, so the kernel resets the connection.

Ruled out here: a connection in the backlog and an answer still being written; both have tests of their own that hold.

Change: a connection without an unanswered request gets a last answer, status 408 with the fields that the node sets for its callers (not run, draining), and is closed for writing. The server reads and discards what still arrives until the client has closed, 500 ms at most, so that nothing resets the connection before the answer is read. A client without a request in flight takes it for the end of the connection. A node takes a 408 of another node for a call that did not run and sends it elsewhere; the load tool retries it. Connections with TLS are closed as before, as the answer would have to be encrypted.

--- a/io/httplistener/connectionset.go
+++ b/io/httplistener/connectionset.go
@@ -17,6 +17,13 @@
 
 // connectionSet holds the open connections of one listener by their remote address.
 type connectionSet struct {
+	// onIdle, if set, is called with each connection that closeAnswered is about to close; tests send a request then.
+	onIdle func()
+	// secure says that the connections carry TLS. They are closed without a farewell, which would have to be encrypted.
+	secure bool
+	// farewell answers a request that crosses the end of its connection.
+	farewell []byte
+
 	mut  sync.Mutex
 	open map[netip.AddrPort]*trackedConnection
 }
@@ -61,8 +68,9 @@
 	return framing.IsHTTP2(con)
 }
 
-// closeAnswered closes each HTTP/1.1 connection once no request on it is unanswered, and returns when none is left or
-// the context ends. Each answer must carry "Connection: close", so that no client sends another request.
+// closeAnswered ends each HTTP/1.1 connection once no request on it is unanswered, and returns when none is left or the
+// context ends. Each answer must carry "Connection: close"; a client that has got none since may send a request at the
+// same moment, which is told that it did not run.
 func (set *connectionSet) closeAnswered(ctx context.Context) {
 	ticker := time.NewTicker(closePollInterval)
 	defer ticker.Stop()
@@ -75,7 +83,7 @@
 	}
 }
 
-// closeAnsweredNow closes the HTTP/1.1 connections without an unanswered request and returns the number of those left.
+// closeAnsweredNow ends the HTTP/1.1 connections without an unanswered request and returns the number of those left.
 func (set *connectionSet) closeAnsweredNow() int {
 	set.mut.Lock()
 	var open []*trackedConnection
@@ -91,7 +99,15 @@
 			left++
 			continue
 		}
-		_ = tra.Close()
+		if set.onIdle != nil {
+			set.onIdle()
+		}
+		if set.secure {
+			_ = tra.Close()
+			continue
+		}
+		tra.end()
+		left++
 	}
 	return left
 }
--- a/io/httplistener/listener.go
+++ b/io/httplistener/listener.go
@@ -1,6 +1,7 @@
 package httplistener
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -43,6 +44,9 @@
 	IdleTime time.Duration
 	// Connections bounds the connections that are served at the same time; further ones wait in the backlog.
 	Connections int
+	// Farewell holds the fields of the answer to a request that crosses the end of its connection during Close; the status,
+	// 408, says that the request has not run.
+	Farewell http.Header
 	// TLS is nil for cleartext.
 	TLS *tls.Config
 	// Counter, if set, counts the bytes of all connections.
@@ -57,6 +61,7 @@
 		return nil, err
 	}
 	soc := newSocket(tcp)
+	soc.connections.farewell = farewell(bou.Farewell)
 	listener := netutil.LimitListener(soc, bou.Connections)
 	address = listener.Addr().(*net.TCPAddr).AddrPort()
 	if bou.Counter != nil {
@@ -68,6 +73,7 @@
 	if bou.TLS != nil {
 		protocols.SetHTTP2(true)
 		listener = tls.NewListener(listener, bou.TLS)
+		soc.connections.secure = true
 	} else {
 		listener = framing.Listener{Listener: listener}
 	}
@@ -88,6 +94,22 @@
 	return lis, nil
 }
 
+// farewell returns the answer to a request that crosses the end of its connection. A client without a request in flight
+// takes it for the end of the connection.
+func farewell(fields http.Header) []byte {
+	header := fields.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	header.Set("Connection", "close")
+	header.Set("Content-Length", "0")
+	var text bytes.Buffer
+	text.WriteString("HTTP/1.1 408 Request Timeout\r\n")
+	_ = header.Write(&text)
+	text.WriteString("\r\n")
+	return text.Bytes()
+}
+
 // wrapHandler refuses requests with an ambiguous body length. Once EndKeepAlive was called, it adds
 // "Connection: close" to each answer.
 func (lis *Listener) wrapHandler(next http.Handler) http.Handler {
--- a/io/httplistener/listener_test.go
+++ b/io/httplistener/listener_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -208,6 +209,45 @@
 	require.NoError(t, <-ended)
 }
 
+// Guards against a reset of a kept connection on which a request crosses the close.
+func TestARequestThatCrossesTheCloseIsToldThatItDidNotRun(t *testing.T) {
+	// With one processor, the server does not read the request before the connection is closed.
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	var runs atomic.Int64
+	handler := http.HandlerFunc(func(wri http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		_, _ = wri.Write([]byte("done"))
+	})
+	lis, err := Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"), handler, Bounds{Connections: 4, IdleTime: time.Minute, Farewell: http.Header{"Outcome": {"notRun"}}})
+	require.NoError(t, err)
+	ended := make(chan error, 1)
+	go func() { ended <- lis.Serve() }()
+	const request = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"
+	con := connect(t, lis.Address(), request)
+	reader := bufio.NewReader(con)
+	requireAnswer(t, reader)
+	lis.socket.connections.onIdle = sync.OnceFunc(func() {
+		if _, err := io.WriteString(con, request); err != nil {
+			t.Error(err)
+		}
+	})
+	time.Sleep(50 * time.Millisecond)
+	closed := make(chan error, 1)
+	go func() { closed <- lis.Close(t.Context()) }()
+	res, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	require.Contains(t, []int{http.StatusOK, http.StatusRequestTimeout}, res.StatusCode)
+	require.True(t, res.Close)
+	require.Equal(t, res.StatusCode == http.StatusRequestTimeout, res.Header.Get("Outcome") == "notRun")
+	_, err = io.Copy(io.Discard, res.Body)
+	require.NoError(t, err)
+	require.NoError(t, res.Body.Close())
+	require.Equal(t, res.StatusCode == http.StatusOK, runs.Load() == 2, "a refused request must not run")
+	require.NoError(t, con.Close())
+	require.NoError(t, <-closed)
+	require.NoError(t, <-ended)
+}
+
 func requireAnswer(t *testing.T, reader *bufio.Reader) {
 	t.Helper()
 	res, err := http.ReadResponse(reader, nil)
--- a/io/httplistener/trackedconnection.go
+++ b/io/httplistener/trackedconnection.go
@@ -1,16 +1,23 @@
 package httplistener
 
 import (
+	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"flamingoreach/io/tcpoptions"
 )
 
-// firstRequestTimeout is how long after its acceptance a connection may take to send its first request during Close.
-const firstRequestTimeout = 500 * time.Millisecond
+const (
+	// firstRequestTimeout is how long after its acceptance a connection may take to send its first request during Close.
+	firstRequestTimeout = 500 * time.Millisecond
+	// lingerTime is how long a connection that was told to end is read, so that a request that crosses the end does not
+	// make the kernel reset the connection before its client has read the answer.
+	lingerTime = 500 * time.Millisecond
+)
 
 // trackedConnection is an accepted connection that records whether a request on it is still unanswered. The shutdown of
 // net/http treats a connection as idle until it has read a request, and so drops requests that have arrived but were
@@ -23,27 +30,70 @@
 	// state is the http.ConnState that net/http reported last.
 	state atomic.Int32
 	// http2 is set on HTTP/2 connections, whose clients are notified of the shutdown by net/http.
-	http2 atomic.Bool
+	http2  atomic.Bool
+	closed atomic.Bool
+
+	mut sync.Mutex
 	// unanswered is set by a read and cleared by a write: while it is set, a request has no answer yet.
-	unanswered atomic.Bool
-	closed     atomic.Bool
+	unanswered bool
+	// ending is set once the farewell was sent.
+	ending bool
 }
 
-// Read records that a request has begun.
+// Read records that a request has begun. Once the connection ends, it discards what arrives.
 func (tra *trackedConnection) Read(into []byte) (int, error) {
-	count, err := tra.TCPConn.Read(into)
-	if count > 0 {
-		tra.unanswered.Store(true)
+	for {
+		count, err := tra.TCPConn.Read(into)
+		switch {
+		case tra.beginRequest(count):
+			return count, err
+		case err != nil:
+			return 0, io.EOF
+		}
 	}
-	return count, err
+}
+
+// beginRequest records that bytes were read, and reports whether the connection is not ending.
+func (tra *trackedConnection) beginRequest(count int) bool {
+	tra.mut.Lock()
+	defer tra.mut.Unlock()
+	tra.unanswered = tra.unanswered || count > 0
+	return !tra.ending
 }
 
 // Write records that the request is being answered.
 func (tra *trackedConnection) Write(data []byte) (int, error) {
-	tra.unanswered.Store(false)
+	tra.mut.Lock()
+	tra.unanswered = false
+	tra.mut.Unlock()
 	return tra.TCPConn.Write(data)
 }
 
+// SetReadDeadline does nothing once the connection ends, because the server would replace the end of the linger time.
+func (tra *trackedConnection) SetReadDeadline(deadline time.Time) error {
+	tra.mut.Lock()
+	defer tra.mut.Unlock()
+	if tra.ending {
+		return nil
+	}
+	return tra.TCPConn.SetReadDeadline(deadline)
+}
+
+// end tells the client of a connection without an unanswered request that the connection ends. The server's read then
+// lasts until the client has closed, or for lingerTime, and the server closes the connection.
+func (tra *trackedConnection) end() {
+	tra.mut.Lock()
+	defer tra.mut.Unlock()
+	if tra.unanswered || tra.ending {
+		return
+	}
+	tra.ending = true
+	_ = tra.TCPConn.SetReadDeadline(time.Now().Add(lingerTime))
+	if _, err := tra.TCPConn.Write(tra.set.farewell); err == nil {
+		_ = tra.CloseWrite()
+	}
+}
+
 // Close closes the connection and removes it from its set; it fails with net.ErrClosed after the first call.
 func (tra *trackedConnection) Close() error {
 	if tra.closed.Swap(true) {
@@ -64,7 +114,9 @@
 	default:
 		return false
 	}
-	if tra.unanswered.Load() {
+	tra.mut.Lock()
+	defer tra.mut.Unlock()
+	if tra.unanswered || tra.ending {
 		return false
 	}
 	// Peek fails if there is nothing to read.
--- a/io/load/generator_test.go
+++ b/io/load/generator_test.go
@@ -79,6 +79,7 @@
 		"default, not run":          {false, refused, 2, 3 * time.Second},
 		"default, unknown":          {false, unknown, 1, 0},
 		"default, key withdrawn":    {false, withdrawn, 1, 0},
+		"default, connection ends":  {false, attempt.Attempt{Status: 408, Reason: reason.Draining, Outcome: outcome.NotRun}, 2, time.Second},
 		"default, not sent":         {false, attempt.Attempt{Error: errorRefused, Unsent: true}, 2, time.Second},
 		"default, connection reset": {false, attempt.Attempt{Error: errorReset}, 1, 0},
 		"unconditional, not run":    {true, refused, 2, time.Second},
--- a/io/load/request.go
+++ b/io/load/request.go
@@ -81,7 +81,7 @@
 }
 
 // mayRetry reports whether the retry policy allows another attempt. An unconditional policy also retries requests that
-// may have been executed. Other policies do not retry after a 4xx status other than 429.
+// may have been executed. Other policies do not retry after a 4xx status other than 408 and 429.
 func (req *request) mayRetry() bool {
 	if len(req.attempts) >= req.policy.Attempts || !time.Now().Before(req.deadline) {
 		return false
@@ -90,7 +90,9 @@
 		return true
 	}
 	att := req.lastAttempt()
-	if att.Status >= http.StatusBadRequest && att.Status < http.StatusInternalServerError && att.Status != http.StatusTooManyRequests {
+	switch {
+	case att.Status == http.StatusRequestTimeout, att.Status == http.StatusTooManyRequests:
+	case att.Status >= http.StatusBadRequest && att.Status < http.StatusInternalServerError:
 		return false
 	}
 	return att.NotRun() || req.due.Kind.SafeToRetry()
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -12,11 +12,13 @@
 	"flamingoreach/core/lifecycle"
 	"flamingoreach/core/membership"
 	"flamingoreach/core/membership/change"
+	"flamingoreach/core/outcome"
 	"flamingoreach/core/reason"
 	"flamingoreach/io/backendserver"
 	"flamingoreach/io/caller"
 	"flamingoreach/io/dispatcher"
 	"flamingoreach/io/httplistener"
+	"flamingoreach/io/message"
 )
 
 const (
@@ -79,6 +81,7 @@
 	bounds := httplistener.Bounds{
 		HeaderBytes: lim.HeaderBytes, HeaderTime: lim.HeaderTime, ReadTime: requestReadTimeout,
 		IdleTime: lim.IdleTime, Connections: lim.Connections,
+		Farewell: http.Header{message.Outcome: {outcome.NotRun.String()}, message.Reason: {string(reason.Draining)}},
 	}
 	// A peer sends many concurrent calls over one connection, so there is no time limit for reading.
 	peerBounds := bounds
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -24,6 +24,10 @@
 	maxIdlePerNode = 4
 )
 
+// errConnectionEnded says that a node that leaves has ended the connection on which the request was sent. It has not read
+// the request.
+var errConnectionEnded = errors.New("the node has ended the connection")
+
 // tracedClient is a client whose errors tell whether the request was sent.
 type tracedClient struct{ *http.Client }
 
@@ -64,6 +68,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if res.Status == http.StatusRequestTimeout {
+		return nil, &http1.Failure{Stage: http1.Connecting, Cause: errConnectionEnded}
+	}
 	return &http.Response{
 		StatusCode: res.Status, Status: http.StatusText(res.Status), Header: res.Header, ProtoMajor: 1, ProtoMinor: 1,
 		Body: io.NopCloser(bytes.NewReader(res.Body)), ContentLength: int64(len(res.Body)), Request: req,
--- a/io/peer/transport_test.go
+++ b/io/peer/transport_test.go
@@ -89,6 +89,15 @@
 	}
 }
 
+func TestACallThatCrossesTheEndOfItsConnectionHasOutcomeNotRun(t *testing.T) {
+	server, address := serve(t, echo)
+	server.Config.Handler = http.HandlerFunc(func(wri http.ResponseWriter, _ *http.Request) { wri.WriteHeader(http.StatusRequestTimeout) })
+	cli := peer.NewPooledClient()
+	defer cli.Close()
+	_, _, err := cli.Run(t.Context(), address, newCall(), 1, message.Message{})
+	requireOutcome(t, outcome.NotRun, err)
+}
+
 func TestACancelledCallIsCancelledAtItsGate(t *testing.T) {
 	began, ended := make(chan struct{}), make(chan struct{})
 	_, address := serve(t, func(ctx context.Context, cal call.Call, _ message.Message) (answer.Answer, message.Message) {
