--- a/io/platformlink/link.go
+++ b/io/platformlink/link.go
@@ -1,8 +1,10 @@
 package platformlink
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -54,7 +56,7 @@
 	}
 	set := metrics.NewSet()
 	return &Link{
-		HTTP:      &http.Client{Transport: transport, CheckRedirect: rejectRedirect},
+		HTTP:      &http.Client{Transport: bufferedTransport{transport}, CheckRedirect: rejectRedirect},
 		peer:      peer,
 		timeout:   timeout,
 		set:       set,
@@ -65,6 +67,26 @@
 	}
 }
 
+// bufferedTransport sends requests from a copy of their bodies. The protocol libraries close the body of a request as
+// soon as they have the header of the answer; if the request were still being written, the transport would give up the
+// connection and with it the rest of the answer.
+type bufferedTransport struct{ *http.Transport }
+
+// RoundTrip sends a request and returns its answer; the bodies are small, so that they can be kept in memory.
+func (buf bufferedTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	if req.Body == nil || req.Body == http.NoBody {
+		return buf.Transport.RoundTrip(req)
+	}
+	body, err := io.ReadAll(req.Body)
+	_ = req.Body.Close()
+	if err != nil {
+		return nil, eris.Wrap(err, "read body of request")
+	}
+	copied := req.Clone(req.Context())
+	copied.Body, copied.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+	return buf.Transport.RoundTrip(copied)
+}
+
 // Read runs one request that reads, and counts it. An error names the step and the peer.
 func (lin *Link) Read(ctx context.Context, step string, request func(context.Context) error) error {
 	lin.reads.Inc()
