--- a/cmd/flamingoreach-host/command/crash_test.go
+++ b/cmd/flamingoreach-host/command/crash_test.go
@@ -6,6 +6,8 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,7 +29,7 @@
 type crashFleet struct {
 	hosts   []*host
 	callers []*standin.Caller
-	sent    int
+	sent    atomic.Int64
 }
 
 // startCrashFleet starts the hosts and waits until each serves.
@@ -57,9 +59,8 @@
 
 // send sends a request to one host.
 func (fle *crashFleet) send(ctx context.Context, number int, path string) standin.Reply {
-	fle.sent++
 	reply, _ := fle.callers[number%len(fle.callers)].Send(ctx, standin.Request{
-		ID: fmt.Sprint("attempt-", fle.sent), Method: "GET", Host: benchmarkHost, Path: path, Key: crashKey, Timeout: crashTimeout,
+		ID: fmt.Sprint("attempt-", fle.sent.Add(1)), Method: "GET", Host: benchmarkHost, Path: path, Key: crashKey, Timeout: crashTimeout,
 	})
 	return reply
 }
@@ -94,3 +95,22 @@
 		})
 	}
 }
+
+// Guards against callers that release a crashing request by sending it at many nodes at the same moment.
+func TestCallersAtTheSameMomentDoNotReleaseACrashingRequest(t *testing.T) {
+	const callers = 16
+	fle := startCrashFleet(t, func(bac *standin.BackendServer) { bac.DownTime = time.Second })
+	var sending sync.WaitGroup
+	for number := range callers {
+		sending.Go(func() { fle.send(t.Context(), number, crashPath) })
+	}
+	sending.Wait()
+	first := fle.crashes()
+	t.Logf("%d crashes under %d callers", first, callers)
+	require.GreaterOrEqual(t, first, int64(maxCrashes))
+	for number := range 2 * crashHosts {
+		time.Sleep(500 * time.Millisecond)
+		fle.send(t.Context(), number, crashPath)
+	}
+	require.Equal(t, first, fle.crashes())
+}
