Let the load of the demo last until its patch is accepted

Cause (known red): the load ended 14 s after its start, while the patch that withdraws a key in use may take 10 s from the ninth on. On a starved machine it was accepted after the load had ended, and no request was refused.

Change: the load ends 3 s after the backend server has begun to leave, which is 2 s after the patch was accepted; the generator can be told that it is enough. On an idle machine the phases take as long as before.

--- a/io/demo/demo.go
+++ b/io/demo/demo.go
@@ -42,11 +42,13 @@
 	// lastReported is the time of the last progress line; it is zero while progress is not reported.
 	lastReported time.Time
 
-	fleet               *localfleet.Fleet
-	plan                plan.Plan
-	loadStarted         time.Time
-	withdrawnAt         time.Time
-	loadEnded           chan loadResult
+	fleet       *localfleet.Fleet
+	plan        plan.Plan
+	loadStarted time.Time
+	withdrawnAt time.Time
+	loadEnded   chan loadResult
+	// loadEnough is closed when the load has lasted long enough.
+	loadEnough          chan struct{}
 	backendServerClosed chan error
 	summary             summary.Summary
 	firstErr            error
@@ -67,7 +69,7 @@
 	}
 	dem := &Demo{
 		Print: output, Log: logger, thread: control.New(eventQueueLength), timeline: timeline.New(steady...),
-		loadEnded: make(chan loadResult, 1), backendServerClosed: make(chan error, 1), plan: loadPlan(),
+		loadEnded: make(chan loadResult, 1), loadEnough: make(chan struct{}), backendServerClosed: make(chan error, 1), plan: loadPlan(),
 	}
 	dem.thread.AddTicker(dem.report)
 	return dem
@@ -139,6 +141,7 @@
 		return att
 	}
 	gen.ReadExecutions = dem.readExecutions
+	gen.Enough = dem.loadEnough
 	dem.loadStarted = time.Now()
 	err = dem.thread.Do(ctx, "demo.began", func() { dem.lastReported = time.Now() })
 	go func() {
--- a/io/demo/phases.go
+++ b/io/demo/phases.go
@@ -101,16 +101,18 @@
 	}
 	dem.withdrawnAt = time.Now()
 	dem.printLine("version 2 accepted: the key is withdrawn")
-	return dem.waitUntil(ctx, leaveAt)
+	return pause(ctx, leaveDelay)
 }
 
 func (dem *Demo) stopBackendServer(ctx context.Context) error {
 	bas := dem.fleet.BackendServers[0]
 	dem.printLine("the backend server of quotes in west-a leaves")
 	go func() { dem.backendServerClosed <- bas.Close(context.WithoutCancel(ctx)) }()
+	waitErr := pause(ctx, loadTail)
+	close(dem.loadEnough)
 	end := <-dem.loadEnded
 	dem.summary.Load = end.result
-	err := errors.Join(end.err, <-dem.backendServerClosed)
+	err := errors.Join(waitErr, end.err, <-dem.backendServerClosed)
 	dem.printLine("the backend server has left, and all callers have their answers")
 	if ctx.Err() != nil {
 		return ctx.Err()
--- a/io/demo/plan.go
+++ b/io/demo/plan.go
@@ -16,13 +16,17 @@
 	"flamingoreach/io/standinbackendserver/behaviour"
 )
 
-// The start times of the phases, counted from the start of the load, and their lengths.
+// The times of the phases: start times count from the start of the load.
 const (
 	surgeAt     = 3 * time.Second
 	surgeLength = 3 * time.Second
 	withdrawAt  = 9 * time.Second
-	leaveAt     = 11 * time.Second
-	loadLength  = 14 * time.Second
+	// leaveDelay is the time from the accepted withdrawal of the key until a backend server leaves, and loadTail the time
+	// from then until the load ends.
+	leaveDelay = 2 * time.Second
+	loadTail   = 3 * time.Second
+	// maxLoadLength is ample for a patch that is accepted as late as it may be.
+	maxLoadLength = withdrawAt + patchTimeout + leaveDelay + loadTail + time.Second
 	// maxWithdrawnKeyUse is the time after its accepted withdrawal in which a key may still get answers.
 	maxWithdrawnKeyUse = 3 * time.Second
 )
@@ -118,7 +122,7 @@
 // loadPlan returns the load plan without its targets.
 func loadPlan() plan.Plan {
 	pla := plan.Plan{
-		Seed: seed, Requests: plan.DefaultRequests * 10, Duration: loadLength, Connections: connections, Deadline: deadline,
+		Seed: seed, Requests: plan.DefaultRequests * 10, Duration: maxLoadLength, Connections: connections, Deadline: deadline,
 		Surge: surge.Surge{Factor: surgeFactor, After: surgeAt, Length: surgeLength},
 		Retry: retrypolicy.RetryPolicy{Attempts: 1},
 		Kinds: []kind.Kind{
--- a/io/load/generator.go
+++ b/io/load/generator.go
@@ -26,6 +26,8 @@
 	// ReadExecutions returns how often each request ID was executed, and how many execution records could and could not be
 	// read.
 	ReadExecutions func(ctx context.Context) (executions map[string]int, read, failed int)
+	// Enough, if set, ends the sending of new requests when it is closed, before the plan does.
+	Enough <-chan struct{}
 
 	plan   plan.Plan
 	thread *control.Thread
@@ -79,7 +81,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	timer.Reset(time.Until(start.Add(due.Offset)))
-	stopped := ctx.Done()
+	stopped, enough := ctx.Done(), gen.Enough
 	for running := 0; more || running > 0; {
 		var next <-chan time.Time
 		if more {
@@ -98,6 +100,9 @@
 		case <-stopped:
 			more = false
 			stopped = nil
+		case <-enough:
+			more = false
+			enough = nil
 		}
 	}
 }
--- a/io/load/generator_test.go
+++ b/io/load/generator_test.go
@@ -66,6 +66,28 @@
 	})
 }
 
+func TestEnoughEndsTheSendingBeforeThePlan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pla := newPlan("127.0.0.1:1", kind.Kind{Path: "/"})
+		pla.Requests, pla.Duration = 1_000_000, time.Hour
+		gen, err := New(pla)
+		require.NoError(t, err)
+		gen.thread.Locked = false
+		gen.Send = func(context.Context, arrival.Arrival, int) attempt.Attempt {
+			time.Sleep(time.Second)
+			return attempt.Attempt{Complete: true}
+		}
+		gen.ReadExecutions = func(context.Context) (map[string]int, int, int) { return nil, 0, 0 }
+		enough := make(chan struct{})
+		gen.Enough = enough
+		go func() { time.Sleep(10 * time.Second); close(enough) }()
+		res, err := gen.Run(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, 11*time.Second, res.Elapsed.Round(time.Second), "the requests under way end")
+		require.Positive(t, res.Total.Complete)
+	})
+}
+
 func TestRetryPolicyDecidesRetryAndWait(t *testing.T) {
 	refused := attempt.Attempt{Status: 503, Reason: reason.QueueFull, Outcome: outcome.NotRun, RetryAfter: 3 * time.Second}
 	unknown := attempt.Attempt{Status: 502, Reason: reason.PeerUnreachable, Outcome: outcome.Unknown}
