--- a/io/hostnode/node_test.go
+++ b/io/hostnode/node_test.go
@@ -218,10 +218,10 @@
 	require.Nil(t, ans.Refusal)
 }
 
-// Guards against a crashing request that is unknown once each node of the service was restarted in turn.
-func TestRestartsInTurnDoNotReleaseACrashingRequest(t *testing.T) {
-	sto := newStore(testConfiguration(1))
-	hosts := startFleet(t, sto, "quotes", "quotes")
+// crashTwice makes each call crash the backend server that runs it, and sends one that crashes two. It returns the count
+// of crashes.
+func crashTwice(t *testing.T, hosts []*host) *atomic.Int64 {
+	t.Helper()
 	var crashes atomic.Int64
 	for _, hos := range hosts {
 		hos.setRun(func(_ context.Context, cal call.Call) (answer.Answer, message.Message) {
@@ -234,6 +234,14 @@
 	}
 	hosts[0].ask(t.Context(), "a", "/quotes/poison", bearer)
 	require.Equal(t, int64(2), crashes.Load())
+	return &crashes
+}
+
+// Guards against a crashing request that is unknown once each node of the service was restarted in turn.
+func TestRestartsInTurnDoNotReleaseACrashingRequest(t *testing.T) {
+	sto := newStore(testConfiguration(1))
+	hosts := startFleet(t, sto, "quotes", "quotes")
+	crashes := crashTwice(t, hosts)
 	for _, hos := range hosts {
 		hos.stop()
 		require.NoError(t, <-hos.end)
@@ -252,18 +260,7 @@
 func TestTheLossOfAllNodesDoesNotReleaseACrashingRequest(t *testing.T) {
 	sto := newStore(testConfiguration(1))
 	hosts := startFleet(t, sto, "quotes", "quotes")
-	var crashes atomic.Int64
-	for _, hos := range hosts {
-		hos.setRun(func(_ context.Context, cal call.Call) (answer.Answer, message.Message) {
-			crashes.Add(1)
-			hos.HandleRefusedConnection(hos.announcement(localserver.Serving, 1))
-			ans := completeAnswer(cal)
-			ans.Refusal = refusal.Unknown(reason.AnswerTruncated, "test")
-			return ans, message.Message{}
-		})
-	}
-	hosts[0].ask(t.Context(), "a", "/quotes/poison", bearer)
-	require.Equal(t, int64(2), crashes.Load())
+	crashes := crashTwice(t, hosts)
 	time.Sleep(time.Second)
 	for _, hos := range hosts {
 		hos.stop()
