Let handshakes that have begun end before a listener closes

Cause: the listener fills its backlog before it closes, so that nobody can connect. A client whose SYN was answered before that believes to be connected when its last packet of the handshake finds the backlog full and is dropped; the close then resets it.

Change: a filter on the listening socket drops new SYN packets. Handshakes that have begun go on for 100 ms, and their connections are accepted and served. A client whose SYN was dropped sends it again and is refused. Where socket filters are not supported, the backlog is filled as before.

--- a/io/httplistener/socket.go
+++ b/io/httplistener/socket.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/netip"
 	"os"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/net/bpf"
 	"golang.org/x/sys/unix"
 )
 
@@ -16,6 +18,12 @@
 	fillTimeout = 5 * time.Millisecond
 	// fillAttempts bounds the attempts to fill the backlog, for a host under a flood of connections.
 	fillAttempts = 8
+	// handshakeTime is longer than a round trip between regions, after which a handshake that had begun has ended.
+	handshakeTime         = 100 * time.Millisecond
+	handshakePollInterval = 5 * time.Millisecond
+	// tcpFlagsOffset is the offset of the flags in a TCP header, and tcpFlagSYN the flag that begins a handshake.
+	tcpFlagsOffset = 13
+	tcpFlagSYN     = 1 << 1
 )
 
 // socket is a listening socket that is closed without losing the connections in its backlog. On a plain close, the
@@ -62,7 +70,11 @@
 	var filler net.Conn
 	if raw, err := soc.SyscallConn(); err == nil {
 		_ = raw.Control(func(listening uintptr) {
-			descriptors, filler = acceptBacklog(ctx, int(listening), soc.Addr().(*net.TCPAddr).AddrPort())
+			if dropNewConnections(int(listening)) == nil {
+				descriptors = acceptHandshakes(ctx, int(listening))
+			} else {
+				descriptors, filler = acceptBacklog(ctx, int(listening), soc.Addr().(*net.TCPAddr).AddrPort())
+			}
 			if soc.onBacklogAccepted != nil {
 				soc.onBacklogAccepted()
 			}
@@ -87,11 +99,42 @@
 	close(soc.backlog)
 }
 
-// acceptBacklog accepts all connections of the backlog and fills it with a connection of its own, the filler, so that no
+// dropNewConnections makes the kernel drop the SYN packets that arrive at a listening socket, so that no client begins to
+// connect; their retransmissions find the listener closed. Handshakes that have begun go on. It fails where socket filters
+// are not supported.
+func dropNewConnections(listening int) error {
+	program, err := bpf.Assemble([]bpf.Instruction{
+		bpf.LoadAbsolute{Off: tcpFlagsOffset, Size: 1},
+		bpf.JumpIf{Cond: bpf.JumpBitsSet, Val: tcpFlagSYN, SkipFalse: 1},
+		bpf.RetConstant{Val: 0},
+		bpf.RetConstant{Val: math.MaxUint16},
+	})
+	if err != nil {
+		return err
+	}
+	filters := make([]unix.SockFilter, 0, len(program))
+	for _, ins := range program {
+		filters = append(filters, unix.SockFilter{Code: ins.Op, Jt: ins.Jt, Jf: ins.Jf, K: ins.K})
+	}
+	return unix.SetsockoptSockFprog(listening, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER,
+		&unix.SockFprog{Len: uint16(len(filters)), Filter: &filters[0]})
+}
+
+// acceptHandshakes accepts the connections of the backlog and, for handshakeTime, those whose handshakes end.
+func acceptHandshakes(ctx context.Context, listening int) []int {
+	var descriptors []int
+	for until := time.Now().Add(handshakeTime); time.Now().Before(until) && ctx.Err() == nil; {
+		descriptors = append(descriptors, acceptWaiting(listening)...)
+		time.Sleep(handshakePollInterval)
+	}
+	return append(descriptors, acceptWaiting(listening)...)
+}
+
+// acceptBacklog is for hosts without socket filters. It accepts all connections of the backlog and fills it with a connection of its own, the filler, so that no
 // client can connect until the close: the kernel would reset that connection although its client may have sent a
 // request. The SYN packet of a client that connects meanwhile is dropped, and its retransmission finds the listener
 // closed. The filler must be closed after the listener. It is nil if the backlog could not be filled; a client can
-// then still connect in the short time until the close.
+// then still connect in the short time until the close, and one whose handshake had begun may be reset.
 func acceptBacklog(ctx context.Context, listening int, address netip.AddrPort) (descriptors []int, filler net.Conn) {
 	// A backlog of length 0 holds one connection.
 	_ = unix.Listen(listening, 0)
--- a/proofs/processes/stop_test.go
+++ b/proofs/processes/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"syscall"
 	"testing"
 	"time"
 
@@ -23,6 +24,8 @@
 	stopRequests = 100_000
 	stopRate     = 150
 	stopSlice    = 4 * time.Second
+	// secondSignalAfter is the time from a SIGTERM to a second one, while the node drains.
+	secondSignalAfter = 300 * time.Millisecond
 )
 
 // Guards against calls that fail because of a planned stop: at one site after the other, the node and then the backend
@@ -38,8 +41,13 @@
 	go func() { results <- sendUntil(done, targets) }()
 	ctx := timeoutContext(t, stopBound)
 	began := time.Now()
-	for _, sit := range fix.Sites {
+	for number, sit := range fix.Sites {
 		t.Logf("%s: stop %s", time.Since(began), sit.Name)
+		if number%2 == 1 {
+			// A second signal during the stop must not hasten it.
+			sit.Node.Signal(syscall.SIGTERM)
+			time.Sleep(secondSignalAfter)
+		}
 		require.NoError(t, sit.Node.Stop(ctx), sit.Node.Log())
 		require.NoError(t, fix.StartNode(ctx, sit))
 		fix.awaitServing(1, fix.Sites...)
