Report a backend server of the soak that could not listen

Cause: since the stand-in binds its address itself, so that it can crash and start again, its error was added to the ledger as the host closed, after the ledger had been checked. A stand-in whose address was in use went unreported; before, the run failed.

Change: the backend servers end before the ledger is checked.

--- a/soak/host.go
+++ b/soak/host.go
@@ -165,10 +165,17 @@
 	for _, server := range hos.servers {
 		_ = server.Close()
 	}
-	if hos.stopBackend != nil {
-		hos.stopBackend()
-		if err := <-hos.backendEnded; err != nil {
-			hos.ledger.addViolation("stand-in", "backend server of %s: %v", hos.name, err)
-		}
+	hos.endBackend()
+}
+
+// endBackend ends the backend server if it was started, and reports its error the first time.
+func (hos *host) endBackend() {
+	if hos.stopBackend == nil {
+		return
+	}
+	hos.stopBackend()
+	hos.stopBackend = nil
+	if err := <-hos.backendEnded; err != nil {
+		hos.ledger.addViolation("stand-in", "backend server of %s: %v", hos.name, err)
 	}
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -74,6 +74,9 @@
 	}
 	stop()
 	loops.Wait()
+	for _, hos := range fle.hosts {
+		hos.endBackend()
+	}
 	res.Violations = fle.ledger.check()
 	res.Requests = len(fle.ledger.answers)
 	return res, nil
