--- a/io/hostnode/server.go
+++ b/io/hostnode/server.go
@@ -31,8 +31,6 @@
 	// maxDedupeBytes bounds the answers that are kept for duplicate deliveries. What matters is the ID of each call,
 	// not its answer.
 	maxDedupeBytes = 256 << 10
-	// maxLoggedSuspects bounds the fingerprints in the log line about a death.
-	maxLoggedSuspects = 16
 	// sweepInterval is the time between two searches for connections that were idle too long.
 	sweepInterval = time.Second
 )
@@ -71,8 +69,7 @@
 	}
 	nod.localServer.OnAlive = nod.gate.ConfirmAlive
 	nod.gate.OnDeath = func(dea death.Death) {
-		nod.log.Warn("backend server died", "suspects", len(dea.Suspects), "fingerprints", dea.Suspects[:min(len(dea.Suspects), maxLoggedSuspects)],
-			"running", dea.Running, "failedBefore", dea.Failed)
+		nod.log.Warn("backend server died", dea.Fields()...)
 	}
 	nod.localServer.OnChange = func(state string, ann announcement.Announcement) {
 		nod.log.Info("backend server", "state", state, "id", ann.ID, "address", ann.Address, "slots", ann.Slots,
--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -50,8 +50,10 @@
 	writer *bufio.Writer
 	// idleUntil is the time from which an idle connection must not be used again.
 	idleUntil time.Time
-	// used is set once an exchange has begun.
+	// used is set once an exchange has ended.
 	used bool
+	// room is shared by the connections of a pool.
+	room *room
 }
 
 // headLimit is a reader that fails while on is set and no bytes are left.
@@ -75,9 +77,9 @@
 	return count, err
 }
 
-func newConnection(con net.Conn) *connection {
+func newConnection(con net.Conn, roo *room) *connection {
 	lim := &headLimit{Reader: con}
-	return &connection{Conn: con, head: lim, reader: bufio.NewReaderSize(lim, bufferBytes), writer: bufio.NewWriterSize(con, bufferBytes)}
+	return &connection{Conn: con, room: roo, head: lim, reader: bufio.NewReaderSize(lim, bufferBytes), writer: bufio.NewWriterSize(con, bufferBytes)}
 }
 
 // usable reports whether an idle connection may carry another request: its idle time has not passed, and the other end
@@ -95,16 +97,15 @@
 }
 
 // exchange sends a request and reads its answer; the connection must not be used again unless reusable is true.
-func (con *connection) exchange(ctx context.Context, req *http.Request, rul Rules, roo *room) (res Response, reusable bool, err error) {
-	firstRequest := !con.used
-	con.used = true
+func (con *connection) exchange(ctx context.Context, req *http.Request, rul Rules) (res Response, reusable bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = con.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	written, err := con.send(req)
 	if err != nil && written == nil {
 		return Response{}, false, &Failure{Stage: Waiting, Cause: err}
 	}
-	res, keepAlive, err := con.receive(req, rul, firstRequest, roo)
+	res, keepAlive, err := con.receive(req, rul)
+	con.used = true
 	if err != nil {
 		return Response{}, false, err
 	}
@@ -134,7 +135,7 @@
 }
 
 // receive reads answers until it finds the one that belongs to the request.
-func (con *connection) receive(req *http.Request, rul Rules, firstRequest bool, roo *room) (Response, bool, error) {
+func (con *connection) receive(req *http.Request, rul Rules) (Response, bool, error) {
 	con.head.left = headBytes
 	for range maxAnswersPerRequest {
 		con.head.on = true
@@ -146,7 +147,7 @@
 		if htr.StatusCode < http.StatusOK {
 			continue
 		}
-		body, err := readBody(htr, rul.BodyBytes, roo)
+		body, err := readBody(htr, rul.BodyBytes, con.room)
 		switch {
 		case err != nil:
 			return Response{}, false, &Failure{Stage: Reading, Cause: err}
@@ -155,7 +156,7 @@
 		}
 		// Only a body that was read to its end is closed: Close reads the rest of it, which may be without end.
 		_ = htr.Body.Close()
-		if rul.Belongs != nil && !rul.Belongs(htr, firstRequest) {
+		if rul.Belongs != nil && !rul.Belongs(htr, !con.used) {
 			if htr.Close {
 				return Response{}, false, &Failure{Stage: Waiting, Cause: errNoMatchingAnswer}
 			}
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return Response{}, &Failure{Stage: Connecting, Refused: errors.Is(err, syscall.ECONNREFUSED), Cause: err}
 	}
-	res, reusable, err := con.exchange(ctx, req, rul, &pl.room)
+	res, reusable, err := con.exchange(ctx, req, rul)
 	if !reusable || !pl.put(address, con) {
 		_ = con.Close()
 	}
@@ -112,7 +112,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConnection(raw), nil
+	return newConnection(raw, &pl.room), nil
 }
 
 // reuse returns the most recently used idle connection that is still usable, or nil.
--- a/io/node/server.go
+++ b/io/node/server.go
@@ -26,9 +26,6 @@
 	crashProbes       = 3
 )
 
-// maxLoggedSuspects bounds the fingerprints in the log line about a death.
-const maxLoggedSuspects = 16
-
 // setUpServer connects the state of the local backend server with the gate and with this node's entry in the
 // membership list.
 func (nod *Node) setUpServer() {
@@ -44,8 +41,7 @@
 	nod.localServer.Crash = nod.gate.Crashed
 	nod.localServer.OnAlive = nod.gate.ConfirmAlive
 	nod.gate.OnDeath = func(dea death.Death) {
-		nod.log.Warn("backend server died", "suspects", len(dea.Suspects), "fingerprints", dea.Suspects[:min(len(dea.Suspects), maxLoggedSuspects)],
-			"running", dea.Running, "failedBefore", dea.Failed)
+		nod.log.Warn("backend server died", dea.Fields()...)
 	}
 	nod.localServer.OnChange = func(state string, ann announcement.Announcement) {
 		nod.logs.Gate.Info("backend server", "state", state, "address", ann.Address, "slots", ann.Slots)
