Refuse late requests of a stop that cannot end before it

Cause: a call at the gate keeps the listeners open until the deadline of the drain. Requests that came until then were taken and passed on, and cut without an answer when the listeners had to close (reported by operators of similar systems, in calm, also for requests that may run once). Change: core/stopwindow decides. For 3 s, or half of a short stop, requests are taken as before; then only those whose deadline lies before the close, and deeper calls until a second before it. Others are refused as not run, to be sent elsewhere after 50 ms.

--- /dev/null
+++ b/core/stopwindow/window_test.go
@@ -0,0 +1,39 @@
+package stopwindow_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingoreach/core/stopwindow"
+)
+
+func TestLateRequestsAreTakenOnlyIfTheyEndInTime(t *testing.T) {
+	began := time.Unix(1000, 0)
+	at := func(after time.Duration) time.Time { return began.Add(after) }
+	win := stopwindow.New(began, at(5300*time.Millisecond))
+	for name, test := range map[string]struct {
+		arrives, deadline time.Duration
+		deeper, admitted  bool
+	}{
+		"callers have not noticed yet":   {2 * time.Second, 8 * time.Second, false, true},
+		"late, ends in time":             {4 * time.Second, 5300 * time.Millisecond, false, true},
+		"late, may last too long":        {4 * time.Second, 5301 * time.Millisecond, false, false},
+		"deeper, of work that runs":      {4 * time.Second, 8 * time.Second, true, true},
+		"deeper, just before the end":    {5 * time.Second, 8 * time.Second, true, false},
+		"deeper, ends just in time":      {5 * time.Second, 5200 * time.Millisecond, true, true},
+		"after the end, deadline passed": {6 * time.Second, 7 * time.Second, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, test.admitted, win.Admits(at(test.arrives), at(test.deadline), test.deeper))
+		})
+	}
+}
+
+func TestAShortStopLeavesTimeForTheRequestsThatItTakes(t *testing.T) {
+	began := time.Unix(1000, 0)
+	win := stopwindow.New(began, began.Add(2*time.Second))
+	require.True(t, win.Admits(began.Add(900*time.Millisecond), began.Add(5*time.Second), false))
+	require.False(t, win.Admits(began.Add(1100*time.Millisecond), began.Add(5*time.Second), false))
+}
--- a/io/hostnode/calls.go
+++ b/io/hostnode/calls.go
@@ -34,6 +34,9 @@
 	deeperPriorityBoost = 1_000_000
 	// deeperWaitDivisor divides the time left to a deeper call to get the time that it may wait at a gate.
 	deeperWaitDivisor = 2
+	// elsewhereAfter is the time after which a caller may send a request again that this host refused because it stops. It
+	// needs only as long as it takes to connect to another host.
+	elsewhereAfter = 50 * time.Millisecond
 )
 
 // setUpCalls creates the runner of attempts and the admission and sets the function fields of the gate, the picker and
@@ -86,9 +89,7 @@
 	started := time.Now()
 	cal, alw, ref := nod.admission.Admit(ctx, req)
 	if ref != nil {
-		ans := answer.Answer{CallID: cal.ID, Refusal: ref}
-		nod.recordEnd(cal, req, ans, 0, started)
-		return ans, message.Message{}
+		return nod.refuseRequest(cal, req, ref, started)
 	}
 	if cal.KeyID == "" && len(nod.view.Load().Configuration.Accounts) > 0 {
 		treatAsDeeper(&cal)
@@ -97,6 +98,11 @@
 		// deeper calls.
 		nod.retryBudget.Earn(cal.Service)
 	}
+	if win := nod.stopWindow.Load(); win != nil && !win.Admits(started, cal.Deadline, cal.Depth > 0) {
+		ref := refusal.NotRun(reason.Draining, "take request during the stop")
+		ref.RetryAfter = elsewhereAfter
+		return nod.refuseRequest(cal, req, ref, started)
+	}
 	ctx, cancel := context.WithDeadline(ctx, cal.Deadline.Add(answerGrace))
 	defer cancel()
 	ans, reply, attempts := nod.runAttempts(ctx, cal, alw, msg)
@@ -104,6 +110,13 @@
 	return ans, reply
 }
 
+// refuseRequest ends a request of which no attempt was made.
+func (nod *Node) refuseRequest(cal call.Call, req request.Request, ref *refusal.Refusal, started time.Time) (answer.Answer, message.Message) {
+	ans := answer.Answer{CallID: cal.ID, Refusal: ref}
+	nod.recordEnd(cal, req, ans, 0, started)
+	return ans, message.Message{}
+}
+
 // treatAsDeeper gives a call without an API key, that is, on an open route, the properties of a deeper call: depth 1, a
 // priority above that of callers' requests, and a wait at a gate of at most 1/deeperWaitDivisor of its remaining time.
 // The bound on the wait is at least 1 ms, because 0 would set none. Where client accounts are configured, such calls
--- a/io/hostnode/node.go
+++ b/io/hostnode/node.go
@@ -24,6 +24,7 @@
 	"flamingoreach/core/membership"
 	"flamingoreach/core/pick"
 	"flamingoreach/core/splitter"
+	"flamingoreach/core/stopwindow"
 	"flamingoreach/core/tokenshare"
 	"flamingoreach/core/view"
 	"flamingoreach/io/crashlink"
@@ -66,6 +67,8 @@
 	backend atomic.Pointer[announcement.Announcement]
 	bounds  atomic.Pointer[hostsettings.Bounds]
 	leaving atomic.Bool
+	// stopWindow is nil until the drain begins.
+	stopWindow atomic.Pointer[stopwindow.Window]
 	// synced is set once the members of the fleet are known or syncTimeout has passed.
 	synced atomic.Bool
 	// lowTokens is set while the control thread has yet to handle the event that calls wait for tokens, so that it gets one
--- a/io/hostnode/node_test.go
+++ b/io/hostnode/node_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -116,6 +117,64 @@
 	require.NoError(t, <-hosts[0].end)
 }
 
+// Guards against requests that come late in a stop, are passed on and are cut at its end: a call at the gate keeps the
+// listeners open until the deadline of the drain, and callers go on sending requests.
+func TestRequestsThatComeLateInAStopAreAnsweredOrRefusedAsNotRun(t *testing.T) {
+	const interval, serviceTime = 400 * time.Millisecond, 1200 * time.Millisecond
+	hosts := startFleet(t, newStore(testConfiguration(1)), "quotes", "confirms")
+	block := make(chan struct{})
+	defer close(block)
+	hosts[0].setRun(func(context.Context, call.Call) (answer.Answer, message.Message) {
+		<-block
+		return answer.Answer{}, message.Message{}
+	})
+	go hosts[1].ask(context.Background(), "long", "/quotes/1", bearer)
+	require.Eventually(t, func() bool { return hosts[0].runs.Load() > 0 }, testTime, 10*time.Millisecond)
+	hosts[1].setRun(func(_ context.Context, cal call.Call) (answer.Answer, message.Message) {
+		time.Sleep(serviceTime)
+		return completeAnswer(cal), message.Message{Status: http.StatusOK}
+	})
+	hosts[0].stop()
+	type result struct {
+		sent    time.Duration
+		elapsed time.Duration
+		status  int
+		err     error
+	}
+	results := make(chan result)
+	began, sent := time.Now(), 0
+	ended := false
+	for !ended {
+		path := fmt.Sprint("/confirms/", sent)
+		go func() {
+			started := time.Now()
+			status, err := hosts[0].callOverHTTP(context.Background(), path)
+			results <- result{started.Sub(began), time.Since(started), status, err}
+		}()
+		sent++
+		select {
+		case err := <-hosts[0].end:
+			require.NoError(t, err)
+			ended = true
+		case <-time.After(interval):
+		}
+	}
+	served := 0
+	for range sent {
+		res := <-results
+		switch {
+		case res.err != nil:
+			require.ErrorIs(t, res.err, syscall.ECONNREFUSED, "sent after %s, ended after %s", res.sent, res.elapsed)
+		case res.status == http.StatusOK:
+			served++
+		default:
+			require.Equal(t, http.StatusServiceUnavailable, res.status)
+			require.Less(t, res.elapsed, serviceTime/2, "a refusal comes at once")
+		}
+	}
+	require.GreaterOrEqual(t, served, int(2*time.Second/interval), "those that come early in the stop are served")
+}
+
 func TestAStopEndsInTime(t *testing.T) {
 	hosts := startFleet(t, newStore(testConfiguration(1)), "quotes", "confirms")
 	block := make(chan struct{})
--- a/io/hostnode/run.go
+++ b/io/hostnode/run.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"flamingoreach/core/membership/change"
+	"flamingoreach/core/stopwindow"
 	"flamingoreach/io/dispatcher"
 	"flamingoreach/io/httplistener"
 )
@@ -100,11 +101,12 @@
 // drain announces to callers and other nodes that this node leaves, keeps serving for leaveNotice, and then lets the
 // calls at its gate end as long as the stop time allows. At last it waits until the other nodes were sent the update
 // that this node has left, or until the deadline of the drain. Requests that began on this host end while the listeners
-// close.
+// close; late ones are refused unless they end in time.
 func (nod *Node) drain() error {
 	began := time.Now()
 	drainDeadline := began.Add(nod.bounds.Load().StopTime * drainParts / stopTimeParts)
 	nod.closeDeadline = drainDeadline.Add(closeTimeout)
+	nod.stopWindow.Store(stopwindow.New(began, nod.closeDeadline))
 	ctx, cancel := context.WithDeadline(context.Background(), drainDeadline)
 	defer cancel()
 	nod.leaving.Store(true)
