--- a/cmd/flamingoreach-host/command/command.go
+++ b/cmd/flamingoreach-host/command/command.go
@@ -112,6 +112,9 @@
 	logger := newLogger(lines)
 	store := platform.NewStore(set.Store)
 	defer store.Close()
+	store.OnUnknownKind = func(kind, route string) {
+		logger.Warn("unknown kind of route, its requests run at most once", "kind", kind, "firstRoute", route)
+	}
 	pool := http1.NewPool(backendDialTimeout)
 	pool.LimitUnsized(set.MemoryBytes / unsizedDivisor)
 	backend := &platform.BackendServer{Pool: pool, BodyBytes: bodyBytes}
