Keep as many connections to a node as were in use lately, and bound long answers

Answers with a stated length, and all answers of other nodes, took memory without a common bound: a faulty backend server that states long bodies could fill the host. Change: a pool keeps as many connections as were in use at the same time in the last one to two seconds. io/room bounds long bodies that are read at the same time, for the backend server and for the other nodes.

--- a/cmd/flamingoreach-host/command/command.go
+++ b/cmd/flamingoreach-host/command/command.go
@@ -18,6 +18,7 @@
 	"flamingoreach/io/hostsettings"
 	"flamingoreach/io/hostsettings/watch"
 	"flamingoreach/io/http1"
+	"flamingoreach/io/room"
 	"flamingoreach/platform"
 )
 
@@ -32,8 +33,8 @@
 	maxWaitingLines = 1024
 	// bodyBytes bounds the body of a request or an answer: the largest size that the operators allow callers to send.
 	bodyBytes = 64 << 20
-	// unsizedDivisor divides the memory of the process to get the bound of all answers of unknown length together.
-	unsizedDivisor = 8
+	// roomDivisor divides the memory of the process to get the bound of all long answers of the backend server together.
+	roomDivisor = 8
 	// bodyTime bounds the time for reading the body of a request that states no timeout.
 	bodyTime = 30 * time.Second
 	// backendDialTimeout is ample for connecting to a live process on the same host.
@@ -116,7 +117,7 @@
 		logger.Warn("unknown kind of route, its requests run at most once", "kind", kind, "firstRoute", route)
 	}
 	pool := http1.NewPool(backendDialTimeout)
-	pool.LimitUnsized(set.MemoryBytes / unsizedDivisor)
+	pool.Room = room.New(set.MemoryBytes / roomDivisor)
 	backend := &platform.BackendServer{Pool: pool, BodyBytes: bodyBytes}
 	nod := hostnode.New(set, hostnode.Platform{
 		ReadConfiguration: store.ReadConfiguration, FollowConfiguration: store.FollowConfiguration,
--- a/io/crashlink/crashlink_test.go
+++ b/io/crashlink/crashlink_test.go
@@ -64,7 +64,7 @@
 func newNode(t *testing.T) *node {
 	t.Helper()
 	nod := &node{gate: gate.New(gatepolicy.Policy{QuarantineTime: time.Minute, RetrySuspects: true})}
-	cli, ser := peer.NewPooledClient(), peer.NewServer()
+	cli, ser := peer.NewPooledClient(nil), peer.NewServer()
 	cli.Leader = func() (string, leader.Leader, bool) { return "", leader.Leader{}, false }
 	cli.OnLeader = func(string, leader.Leader) {}
 	ser.Leader, ser.OnLeader = cli.Leader, cli.OnLeader
--- a/io/hostnode/node.go
+++ b/io/hostnode/node.go
@@ -33,6 +33,7 @@
 	"flamingoreach/io/hostsettings"
 	"flamingoreach/io/metricset"
 	"flamingoreach/io/peer"
+	"flamingoreach/io/room"
 	"flamingoreach/io/tasks"
 )
 
@@ -42,6 +43,8 @@
 	taskLimit = 64
 	// askTimeout bounds one request to another node; it spans several round trips between regions.
 	askTimeout = time.Second
+	// peerRoomDivisor divides the memory of the process to get the bound of all long answers of other nodes together.
+	peerRoomDivisor = 8
 	// storeTimeout bounds one request to the store, which normally answers within milliseconds.
 	storeTimeout = 2 * time.Second
 )
@@ -132,7 +135,7 @@
 		linkBudget:  linkbudget.New(float64(set.LinkBytes)),
 		metrics:     metricset.New(),
 		gcPacer:     gcpacer.New(set.Cores),
-		peerClient:  peer.NewPooledClient(),
+		peerClient:  peer.NewPooledClient(room.New(set.MemoryBytes / peerRoomDivisor)),
 		peerServer:  peer.NewServer(),
 		localServer: localserver.New(),
 		feed:        configurationfeed.New(),
--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"flamingoreach/io/room"
 	"flamingoreach/io/tcpoptions"
 )
 
@@ -53,7 +54,7 @@
 	// used is set once an exchange has ended.
 	used bool
 	// room is shared by the connections of a pool.
-	room *room
+	room *room.Room
 }
 
 // headLimit is a reader that fails while on is set and no bytes are left.
@@ -77,7 +78,7 @@
 	return count, err
 }
 
-func newConnection(con net.Conn, roo *room) *connection {
+func newConnection(con net.Conn, roo *room.Room) *connection {
 	lim := &headLimit{Reader: con}
 	return &connection{Conn: con, room: roo, head: lim, reader: bufio.NewReaderSize(lim, bufferBytes), writer: bufio.NewWriterSize(con, bufferBytes)}
 }
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"flamingoreach/io/room"
 	"flamingoreach/io/tcpoptions"
 )
 
@@ -33,20 +34,22 @@
 type Pool struct {
 	// Dial connects to an address.
 	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
-	// MaxIdle, if set, bounds the idle connections.
+	// MaxIdle, if set, bounds the idle connections. More are kept while as many were in use at the same time lately, so
+	// that steady traffic with varying concurrency does not open a connection for each peak.
 	MaxIdle int
+	// Room, if set, bounds the long bodies of answers and those of unknown length that are read at the same time, all
+	// together.
+	Room *room.Room
 
-	room    room
 	mut     sync.Mutex
 	address netip.AddrPort
 	// idle is in the order of last use, the most recently used connection last.
 	idle []*connection
+	// inUse counts the connections in use. mostInUse is the highest count since the last sweep, and formerMostInUse that
+	// between the two sweeps before.
+	inUse, mostInUse, formerMostInUse int
 }
 
-// LimitUnsized bounds the bodies of unknown length that are read at the same time, all together; it must be called before
-// the first exchange.
-func (pl *Pool) LimitUnsized(bytes int64) { pl.room.max = bytes }
-
 // NewPool returns a pool without connections, with a bound on the time to connect.
 func NewPool(dialTimeout time.Duration) *Pool {
 	dialer := tcpoptions.Dialer(dialTimeout)
@@ -58,11 +61,14 @@
 // Exchange sends a request at most once and returns the complete answer, or a *Failure. The body must have the length
 // that the request states.
 func (pl *Pool) Exchange(ctx context.Context, address netip.AddrPort, req *http.Request, rul Rules) (Response, error) {
+	pl.begin()
 	con, err := pl.get(ctx, address)
 	if err != nil {
+		pl.end()
 		return Response{}, &Failure{Stage: Connecting, Refused: errors.Is(err, syscall.ECONNREFUSED), Cause: err}
 	}
 	res, reusable, err := con.exchange(ctx, req, rul)
+	pl.end()
 	if !reusable || !pl.put(address, con) {
 		_ = con.Close()
 	}
@@ -100,6 +106,28 @@
 	pl.idle = nil
 }
 
+// begin counts a connection that is about to be used, and end one that no longer is.
+func (pl *Pool) begin() {
+	pl.mut.Lock()
+	defer pl.mut.Unlock()
+	pl.inUse++
+	pl.mostInUse = max(pl.mostInUse, pl.inUse)
+}
+
+func (pl *Pool) end() {
+	pl.mut.Lock()
+	defer pl.mut.Unlock()
+	pl.inUse--
+}
+
+// idleRoomLocked returns how many idle connections may be kept; it is negative if there is no bound.
+func (pl *Pool) idleRoomLocked() int {
+	if pl.MaxIdle == 0 {
+		return -1
+	}
+	return max(pl.MaxIdle, max(pl.mostInUse, pl.formerMostInUse)-pl.inUse)
+}
+
 func (pl *Pool) get(ctx context.Context, address netip.AddrPort) (*connection, error) {
 	if con := pl.reuse(address); con != nil {
 		return con, nil
@@ -112,7 +140,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConnection(raw, &pl.room), nil
+	return newConnection(raw, pl.Room), nil
 }
 
 // reuse returns the most recently used idle connection that is still usable, or nil.
@@ -137,20 +165,26 @@
 func (pl *Pool) put(address netip.AddrPort, con *connection) bool {
 	pl.mut.Lock()
 	defer pl.mut.Unlock()
-	if address != pl.address || pl.MaxIdle > 0 && len(pl.idle) >= pl.MaxIdle {
+	if idleRoom := pl.idleRoomLocked(); address != pl.address || idleRoom >= 0 && len(pl.idle) >= idleRoom {
 		return false
 	}
 	pl.idle = append(pl.idle, con)
 	return true
 }
 
-// Sweep closes the connections that were idle too long.
+// Sweep closes the connections that were idle too long, and of the others the least recently used ones for which there
+// is no room any more. It is called at regular intervals.
 func (pl *Pool) Sweep() {
 	pl.mut.Lock()
 	defer pl.mut.Unlock()
+	pl.formerMostInUse, pl.mostInUse = pl.mostInUse, pl.inUse
+	surplus := 0
+	if idleRoom := pl.idleRoomLocked(); idleRoom >= 0 {
+		surplus = len(pl.idle) - idleRoom
+	}
 	now, remaining := time.Now(), pl.idle[:0]
-	for _, con := range pl.idle {
-		if now.Before(con.idleUntil) {
+	for index, con := range pl.idle {
+		if index >= surplus && now.Before(con.idleUntil) {
 			remaining = append(remaining, con)
 			continue
 		}
--- a/io/http1/pool_test.go
+++ b/io/http1/pool_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"flamingoreach/io/http1"
+	"flamingoreach/io/room"
 )
 
 const testTime = 5 * time.Second
@@ -29,7 +30,7 @@
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	accepted := make(chan int, 16)
+	accepted := make(chan int, 64)
 	go func() {
 		for number := 0; ; number++ {
 			con, err := listener.Accept()
@@ -104,6 +105,57 @@
 	require.Len(t, accepted, 1)
 }
 
+// Guards against a pool that closes and opens connections all the time because its idle bound is below the variation of
+// the concurrency.
+func TestIdleConnectionsFollowTheConcurrency(t *testing.T) {
+	const most, maxIdle, rounds = 12, 2, 5
+	arrived, release := make(chan struct{}, most), make(chan struct{})
+	address, accepted := serve(t, func(con net.Conn, reader *bufio.Reader) {
+		for {
+			req, ok := readRequest(reader)
+			if !ok {
+				return
+			}
+			arrived <- struct{}{}
+			<-release
+			_, _ = io.WriteString(con, answer(req.Header.Get("Id"), "whole"))
+		}
+	})
+	pl := http1.NewPool(time.Second)
+	pl.MaxIdle = maxIdle
+	defer pl.Close()
+	atOnce := func(count int) {
+		errs := make(chan error, count)
+		for range count {
+			go func() {
+				_, err := exchange(t, pl, address, "a", "")
+				errs <- err
+			}()
+		}
+		for range count {
+			<-arrived
+		}
+		for range count {
+			release <- struct{}{}
+		}
+		for range count {
+			require.NoError(t, <-errs)
+		}
+	}
+	for range rounds {
+		atOnce(most)
+		atOnce(1)
+		pl.Sweep()
+	}
+	require.Len(t, accepted, most, "no connection is opened beyond the highest concurrency")
+	for range 3 {
+		pl.Sweep()
+		atOnce(1)
+	}
+	atOnce(most)
+	require.Len(t, accepted, most+most-maxIdle, "connections that were not needed lately are closed")
+}
+
 func TestAnAnswerWithoutRequestIsDiscarded(t *testing.T) {
 	address, accepted := serve(t, func(con net.Conn, reader *bufio.Reader) {
 		_, _ = readRequest(reader)
@@ -295,7 +347,7 @@
 				writeWithoutEnd(con, test.text, test.filler, &written)
 			})
 			pl := http1.NewPool(time.Second)
-			pl.LimitUnsized(unsized)
+			pl.Room = room.New(unsized)
 			defer pl.Close()
 			began := time.Now()
 			_, err := exchange(t, pl, address, "a", "")
@@ -306,18 +358,30 @@
 	}
 }
 
-// Guards against the memory that answers of unknown length take together.
-func TestAnswersOfUnknownLengthShareTheirRoom(t *testing.T) {
+// Guards against the memory that long answers take together, be their length stated or not.
+func TestLongAnswersShareTheirRoom(t *testing.T) {
+	for name, head := range map[string]string{
+		"unknown length": "HTTP/1.1 200 OK\r\nId: a\r\n\r\n",
+		"stated length":  "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 1048576\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) { testLongAnswers(t, head) })
+	}
+}
+
+// testLongAnswers lets callers read answers with the head at the same time, each a megabyte long, of which the
+// last byte is sent once one of them has failed.
+func testLongAnswers(t *testing.T, head string) {
 	const unsized, callers = 3 << 20, 8
-	body := strings.Repeat("b", 1<<20)
+	body := strings.Repeat("b", 1<<20-1)
 	release := make(chan struct{})
 	address, _ := serve(t, func(con net.Conn, reader *bufio.Reader) {
 		_, _ = readRequest(reader)
-		_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\nId: a\r\n\r\n"+body)
+		_, _ = io.WriteString(con, head+body)
 		<-release
+		_, _ = io.WriteString(con, "b")
 	})
 	pl := http1.NewPool(time.Second)
-	pl.LimitUnsized(unsized)
+	pl.Room = room.New(unsized)
 	defer pl.Close()
 	errs := make(chan error, callers)
 	for range callers {
--- a/io/memberlink/memberlink_test.go
+++ b/io/memberlink/memberlink_test.go
@@ -32,7 +32,7 @@
 				link := &memberlink.Link{
 					List:       membership.New(member.Member{ID: "a", Peer: netip.MustParseAddrPort("10.0.0.1:1")}, nil),
 					Dispatcher: dis,
-					Client:     peer.NewPooledClient(), Server: peer.NewServer(),
+					Client:     peer.NewPooledClient(nil), Server: peer.NewServer(),
 					WriteRow: func(context.Context, memberrow.Row) error {
 						time.Sleep(time.Second)
 						steps = append(steps, "write ended")
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -20,6 +20,7 @@
 	"flamingoreach/io/http1"
 	"flamingoreach/io/message"
 	"flamingoreach/io/peer/callv1/callv1connect"
+	"flamingoreach/io/room"
 )
 
 const (
@@ -74,11 +75,11 @@
 }
 
 // NewPooledClient returns a client with one call at a time on each cleartext connection, so that a lost packet delays
-// one call only. Connections are closed if the peer stops responding.
-func NewPooledClient() *Client {
+// one call only. Connections are closed if the peer stops responding. The long answers of all nodes share the room.
+func NewPooledClient(roo *room.Room) *Client {
 	cli := &Client{scheme: "http://"}
 	cli.codec = newCodec(&cli.controlBytes)
-	pools := &pooledClient{pools: map[netip.AddrPort]*http1.Pool{}}
+	pools := &pooledClient{room: roo, pools: map[netip.AddrPort]*http1.Pool{}}
 	cli.http, cli.sweep, cli.closeIdle = pools, pools.sweep, pools.closeIdle
 	return cli
 }
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -15,12 +15,14 @@
 	"github.com/rotisserie/eris"
 
 	"flamingoreach/io/http1"
+	"flamingoreach/io/room"
 )
 
 const (
 	// pooledDialTimeout is enough for a round trip between regions, not for the retransmission of a handshake packet.
 	pooledDialTimeout = 300 * time.Millisecond
-	// maxIdlePerNode bounds the idle connections to each node, which take most of the memory if there are many nodes.
+	// maxIdlePerNode bounds the idle connections to each node beyond those in use lately, as idle connections take most of
+	// the memory if there are many nodes.
 	maxIdlePerNode = 4
 )
 
@@ -54,6 +56,8 @@
 // pooledClient is a client with a pool of HTTP/1.1 connections to each node. A request runs on the goroutine of its
 // caller, without the two goroutines that the standard client has for each connection.
 type pooledClient struct {
+	room *room.Room
+
 	mut   sync.Mutex
 	pools map[netip.AddrPort]*http1.Pool
 }
@@ -84,7 +88,7 @@
 	pool := pcl.pools[address]
 	if pool == nil {
 		pool = http1.NewPool(pooledDialTimeout)
-		pool.MaxIdle = maxIdlePerNode
+		pool.MaxIdle, pool.Room = maxIdlePerNode, pcl.room
 		pcl.pools[address] = pool
 	}
 	return pool
--- a/io/peer/transport_test.go
+++ b/io/peer/transport_test.go
@@ -57,7 +57,7 @@
 
 func TestConcurrentCallsGetTheirOwnAnswers(t *testing.T) {
 	_, address := serve(t, echo)
-	cli := peer.NewPooledClient()
+	cli := peer.NewPooledClient(nil)
 	defer cli.Close()
 	var calls sync.WaitGroup
 	for number := range 32 {
@@ -76,7 +76,7 @@
 }
 
 func TestOnlyACallThatWasNeverSentHasOutcomeNotRun(t *testing.T) {
-	for name, cli := range map[string]*peer.Client{"pooled": peer.NewPooledClient(), "HTTP/2": peer.NewClient(nil)} {
+	for name, cli := range map[string]*peer.Client{"pooled": peer.NewPooledClient(nil), "HTTP/2": peer.NewClient(nil)} {
 		t.Run(name, func(t *testing.T) {
 			_, _, err := cli.Run(t.Context(), netip.MustParseAddrPort("127.0.0.1:1"), newCall(), 1, message.Message{})
 			requireOutcome(t, outcome.NotRun, err)
@@ -92,7 +92,7 @@
 func TestACallThatCrossesTheEndOfItsConnectionHasOutcomeNotRun(t *testing.T) {
 	server, address := serve(t, echo)
 	server.Config.Handler = http.HandlerFunc(func(wri http.ResponseWriter, _ *http.Request) { wri.WriteHeader(http.StatusRequestTimeout) })
-	cli := peer.NewPooledClient()
+	cli := peer.NewPooledClient(nil)
 	defer cli.Close()
 	_, _, err := cli.Run(t.Context(), address, newCall(), 1, message.Message{})
 	requireOutcome(t, outcome.NotRun, err)
@@ -106,7 +106,7 @@
 		close(ended)
 		return answer.Answer{CallID: cal.ID}, message.Message{}
 	})
-	cli := peer.NewPooledClient()
+	cli := peer.NewPooledClient(nil)
 	defer cli.Close()
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() { <-began; cancel() }()
@@ -121,7 +121,7 @@
 
 func TestAConnectionThatTheOtherNodeClosedIsNotUsed(t *testing.T) {
 	server, address := serve(t, echo)
-	cli := peer.NewPooledClient()
+	cli := peer.NewPooledClient(nil)
 	defer cli.Close()
 	for range 20 {
 		_, _, err := cli.Run(t.Context(), address, newCall(), 1, message.Message{})
@@ -138,7 +138,7 @@
 		<-release
 		return answer.Answer{CallID: cal.ID}, message.Message{Status: http.StatusOK}
 	})
-	cli := peer.NewPooledClient()
+	cli := peer.NewPooledClient(nil)
 	defer cli.Close()
 	const concurrent = 4
 	var calls sync.WaitGroup
