Refuse no call as beyond the rate before the rate is known

Cause: from the configuration until the other hosts were known, a started host had no part of any rate. Calls waited 150 ms for tokens that nobody was asked for, and were refused as rateExceeded, with a second to wait. Change: such calls wait up to a second until the hosts are known. A host that holds no tokens of an account says rateExceeded only once a holder has answered it; before, shareUnavailable with 0.3 s to wait.

--- a/core/tokenshare/tokenshare.go
+++ b/core/tokenshare/tokenshare.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,6 +40,12 @@
 	maxWaiting = 64
 	// retryAfter is the time after which a refused call may find a token: most bursts allow one second's calls at once.
 	retryAfter = time.Second
+	// hostsWait is how long a call waits after the start of this process until the hosts are known, which takes some round
+	// trips, and maxAwaitingHosts bounds the calls that do.
+	hostsWait        = time.Second
+	maxAwaitingHosts = 256
+	// unavailableRetryAfter is the time after which this host may know the account's tokens.
+	unavailableRetryAfter = 300 * time.Millisecond
 	// minHolderTokens is the least part of an account's burst at one holder.
 	minHolderTokens = 4
 )
@@ -48,6 +55,10 @@
 	// OnCallWaits, if set, is called when a call begins to wait for tokens; it must not block.
 	OnCallWaits func()
 
+	// hostsKnown is closed once the hosts are known; awaitingHosts counts the calls that wait for that.
+	hostsKnown    chan struct{}
+	awaitingHosts atomic.Int64
+
 	mut     sync.Mutex
 	self    netip.AddrPort
 	hosts   []netip.AddrPort
@@ -70,12 +81,15 @@
 	// failedRequests counts the consecutive loan requests without a loan; calls are refused at once before noTokensBefore.
 	failedRequests int
 	noTokensBefore time.Time
-	waiters        []chan struct{}
+	// answered is set once a holder has answered a loan request, with or without a loan. Before that, a host that holds no
+	// part of the rate does not know whether the account exceeds it.
+	answered bool
+	waiters  []chan struct{}
 }
 
 // New returns shares without accounts, which accrue nothing before the hosts are known.
 func New(self netip.AddrPort) *Shares {
-	return &Shares{self: self, buckets: map[string]*bucket{}}
+	return &Shares{self: self, hostsKnown: make(chan struct{}), buckets: map[string]*bucket{}}
 }
 
 // Configure sets the accounts of a new configuration version; those without a rate are not limited.
@@ -114,6 +128,9 @@
 		return
 	}
 	now := time.Now()
+	if len(sha.hosts) == 0 {
+		close(sha.hostsKnown)
+	}
 	sha.hosts = hosts
 	for name, buc := range sha.buckets {
 		buc.refill(now)
@@ -121,8 +138,12 @@
 	}
 }
 
-// Take takes one token of an account; if there is none, it waits up to borrowWait for a borrowed one.
+// Take takes one token of an account; if there is none, it waits up to borrowWait for a borrowed one. It refuses a call as
+// beyond the rate only if this host can know that it is.
 func (sha *Shares) Take(ctx context.Context, account string) *refusal.Refusal {
+	if sha.limitsUnknown(account) && !sha.awaitHosts(ctx) {
+		return unavailable()
+	}
 	sha.mut.Lock()
 	now := time.Now()
 	buc := sha.buckets[account]
@@ -139,7 +160,7 @@
 	}
 	if now.Before(buc.noTokensBefore) || len(buc.waiters) >= maxWaiting {
 		defer sha.mut.Unlock()
-		return exceeded()
+		return buc.refuse()
 	}
 	granted := make(chan struct{})
 	buc.waiters = append(buc.waiters, granted)
@@ -158,6 +179,35 @@
 	return sha.abandonWait(buc, granted)
 }
 
+// limitsUnknown reports whether an account has a rate and the hosts among which it is divided are not known yet.
+func (sha *Shares) limitsUnknown(account string) bool {
+	select {
+	case <-sha.hostsKnown:
+		return false
+	default:
+	}
+	sha.mut.Lock()
+	defer sha.mut.Unlock()
+	return sha.buckets[account] != nil
+}
+
+// awaitHosts waits up to hostsWait until the hosts are known, and reports whether they are.
+func (sha *Shares) awaitHosts(ctx context.Context) bool {
+	defer sha.awaitingHosts.Add(-1)
+	if sha.awaitingHosts.Add(1) > maxAwaitingHosts {
+		return false
+	}
+	timer := time.NewTimer(hostsWait)
+	defer timer.Stop()
+	select {
+	case <-sha.hostsKnown:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // abandonWait removes a waiter, unless it has got its token in the meantime.
 func (sha *Shares) abandonWait(buc *bucket, granted chan struct{}) *refusal.Refusal {
 	sha.mut.Lock()
@@ -166,18 +216,29 @@
 	for index, other := range buc.waiters {
 		if other == granted {
 			buc.waiters = append(buc.waiters[:index], buc.waiters[index+1:]...)
-			return exceeded()
+			return buc.refuse()
 		}
 	}
 	return nil
 }
 
-func exceeded() *refusal.Refusal {
+// refuse returns the refusal of a call for which there is no token.
+func (buc *bucket) refuse() *refusal.Refusal {
+	if !buc.isHolder && !buc.answered {
+		return unavailable()
+	}
 	ref := refusal.NotRun(reason.RateExceeded, "take token")
 	ref.RetryAfter = retryAfter
 	return ref
 }
 
+// unavailable returns the refusal of a call while this host does not know the account's tokens.
+func unavailable() *refusal.Refusal {
+	ref := refusal.NotRun(reason.ShareUnavailable, "take token")
+	ref.RetryAfter = unavailableRetryAfter
+	return ref
+}
+
 // LoanRequests returns the loans that this host should request, by the host to ask; it also serves waiting calls.
 func (sha *Shares) LoanRequests() map[netip.AddrPort][]loan.Loan {
 	sha.mut.Lock()
@@ -237,6 +298,7 @@
 		if buc == nil {
 			continue
 		}
+		buc.answered = true
 		if tokens := lent[ask.Account]; tokens > 0 {
 			buc.tokens += tokens
 			buc.failedRequests, buc.noTokensBefore = 0, time.Time{}
--- a/io/hostnode/node_test.go
+++ b/io/hostnode/node_test.go
@@ -175,6 +175,30 @@
 	require.GreaterOrEqual(t, served, int(2*time.Second/interval), "those that come early in the stop are served")
 }
 
+// Guards against calls far below their account's rate that are refused as beyond it in the first seconds of a node, and
+// counts those that are refused for another reason.
+func TestARestartedHostRefusesNoCallAsBeyondTheRate(t *testing.T) {
+	const calls, interval = 40, 50 * time.Millisecond
+	sto := newStore(testConfiguration(1))
+	hosts := startFleet(t, sto, "quotes", "quotes", "confirms")
+	hosts[2].stop()
+	require.NoError(t, <-hosts[2].end)
+	for _, hos := range hosts[:2] {
+		require.NoError(t, hos.ReceiveAnnouncement(t.Context(), hos.announcement(localserver.Serving, 2)))
+	}
+	hosts[2].start(t, sto)
+	require.Eventually(t, func() bool { return hosts[2].View().Configuration != nil }, testTime, time.Millisecond)
+	refused := map[reason.Reason]int{}
+	for number := range calls {
+		ans, _ := hosts[2].ask(t.Context(), fmt.Sprint("attempt-", number), "/quotes/1", bearer)
+		if ans.Refusal != nil {
+			refused[ans.Refusal.Reason]++
+		}
+		time.Sleep(interval)
+	}
+	require.Empty(t, refused)
+}
+
 func TestAStopEndsInTime(t *testing.T) {
 	hosts := startFleet(t, newStore(testConfiguration(1)), "quotes", "confirms")
 	block := make(chan struct{})
