Let three nodes of each data centre follow the store for the others

Change: core/followers chooses three live members of each data centre by the order of their random IDs; nodes that differ in their members follow rather more than less, and one whose requests to other nodes fail three times in a row follows too. The chart of the feed has a state 'relying'. A node with a new version from the store tells the nodes of its data centre and two others at once. A request to the store waits 6 s, so that a lost answer is noticed by then.

--- a/core/configurationfeed/feed.go
+++ b/core/configurationfeed/feed.go
@@ -24,6 +24,8 @@
 	// Follow starts a request that the store answers at the next change after a revision, or after a while without a
 	// change; the result goes to HandleAnswer.
 	Follow func(revision uint64)
+	// Follows reports whether this node follows the store itself, rather than rely on other nodes for new versions.
+	Follows func() bool
 	// Publish is called with each version that comes into force.
 	Publish func(cfg *configuration.Configuration, source string)
 	// OnUnreachable is called when the store stops answering, OnReachable when it answers again, with the time between
@@ -44,7 +46,11 @@
 }
 
 var chart = machine.MustNew(charts.MustLoad("configurationFeed"),
-	[]string{"due", "read", "changed", "failed", "expired"}, nil,
+	[]string{"due", "read", "changed", "failed", "expired"},
+	map[string]func(*Feed) bool{
+		"follows": func(fee *Feed) bool { return fee.Follows() },
+		"mayRely": func(fee *Feed) bool { return fee.current != nil && !fee.Follows() },
+	},
 	map[string]func(*Feed){
 		"read":            func(fee *Feed) { fee.Read() },
 		"follow":          func(fee *Feed) { fee.Follow(fee.revision) },
--- a/core/configurationfeed/feed_test.go
+++ b/core/configurationfeed/feed_test.go
@@ -25,6 +25,7 @@
 	}
 	fee.OnUnreachable = func(error) { *log = append(*log, "lost") }
 	fee.OnReachable = func(time.Duration) { *log = append(*log, "regained") }
+	fee.Follows = func() bool { return true }
 	fee.Random = func() float64 { return 0.5 }
 	return fee
 }
@@ -87,3 +88,41 @@
 	fee.HandleAnswer(version(3, 40), nil)
 	require.Equal(t, []string{"read", "store 1", "follow 2", "read", "store 3", "follow 40"}, take(&log))
 }
+
+func TestANodeThatDoesNotFollowReliesOnOthersUntilItMust(t *testing.T) {
+	var log []string
+	fee := newFeed(&log)
+	follows := true
+	fee.Follows = func() bool { return follows }
+	fee.Tick()
+	fee.HandleAnswer(version(1, 2), nil)
+	require.Equal(t, []string{"read", "store 1", "follow 2"}, take(&log))
+	follows = false
+	fee.HandleAnswer(version(2, 3), nil)
+	fee.Tick()
+	require.Equal(t, []string{"store 2"}, take(&log), "the pending request ends first")
+	fee.ReceiveVersion(&configuration.Configuration{Version: 4})
+	fee.Tick()
+	require.Equal(t, []string{"peer 4"}, take(&log))
+	follows = true
+	fee.Tick()
+	require.Equal(t, []string{"follow 3"}, take(&log), "changes since the last answer of the store are asked for")
+}
+
+func TestANodeWithoutAConfigurationAsksTheStoreEvenIfItNeedNotFollow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log []string
+		fee := newFeed(&log)
+		fee.Follows = func() bool { return false }
+		fee.Tick()
+		fee.HandleAnswer(reading.Reading{}, errUnreachable)
+		time.Sleep(time.Second)
+		fee.Tick()
+		require.Equal(t, []string{"read", "lost", "read"}, take(&log))
+		fee.HandleAnswer(reading.Reading{}, errUnreachable)
+		fee.ReceiveVersion(&configuration.Configuration{Version: 4})
+		time.Sleep(time.Second)
+		fee.Tick()
+		require.Equal(t, []string{"peer 4"}, take(&log), "it has a version and others follow")
+	})
+}
--- a/core/stopwindow/window_test.go
+++ b/core/stopwindow/window_test.go
@@ -11,7 +11,7 @@
 
 func TestLateRequestsAreTakenOnlyIfTheyEndInTime(t *testing.T) {
 	began := time.Unix(1000, 0)
-	at := func(after time.Duration) time.Time { return began.Add(after) }
+	at := began.Add
 	win := stopwindow.New(began, at(5300*time.Millisecond))
 	for name, test := range map[string]struct {
 		arrives, deadline time.Duration
--- a/io/hostnode/configuration.go
+++ b/io/hostnode/configuration.go
@@ -19,11 +19,14 @@
 	// versionAsksPerBound is the number of other nodes that this node asks for their version within the time in which a
 	// new version must be in force. The store may refuse to serve this host, which then depends on the other nodes.
 	versionAsksPerBound = 5
-	// newVersionAsks is the number of random nodes that this node asks for their version as soon as the store has
-	// returned a new one. The request carries the new version's number, so that they ask this node for it.
+	// A node asks other nodes for their version as soon as it has a new one; the request carries the number, so that they
+	// ask this node for it. newVersionAsks is the number of random nodes that it asks. If it has the version from the store,
+	// it also asks up to spreadWithin nodes of its data centre, most of which do not follow the store.
 	newVersionAsks = 2
-	// followWait is how long the store delays its answer while the configuration does not change (long polling).
-	followWait = 20 * time.Second
+	spreadWithin   = 24
+	// followWait is how long the store delays its answer while the configuration does not change (long polling). It bounds
+	// the time for which a node whose answer was lost does not notice that.
+	followWait = 6 * time.Second
 )
 
 // versionRequest asks a node for a newer version than the sender's. It carries the sender's version and its address, at
@@ -43,6 +46,7 @@
 			return nod.platform.FollowConfiguration(ctx, revision, followWait)
 		}, nod.feed.HandleAnswer)
 	}
+	nod.feed.Follows = func() bool { return nod.followers.IncludeSelf(nod.view.Load().Members) }
 	nod.feed.Publish = nod.applyConfiguration
 	nod.feed.OnUnreachable = func(err error) { nod.log.Warn("store lost", "version", nod.feed.Version(), "error", err) }
 	nod.feed.OnReachable = func(after time.Duration) {
@@ -63,9 +67,22 @@
 	nod.versionAppliedAt.Store(time.Now().UnixNano())
 	nod.view.Store(nod.view.Load().WithConfiguration(cfg, dir))
 	nod.log.Info("configuration in force", "version", cfg.Version, "source", source, "routes", len(cfg.Routes), "accounts", len(cfg.Accounts))
-	if source == "store" {
-		for range newVersionAsks {
-			nod.askRandomMember()
+	nod.spreadVersion(source == "store")
+}
+
+// spreadVersion lets other nodes know that this node has a new version.
+func (nod *Node) spreadVersion(fromStore bool) {
+	for range newVersionAsks {
+		nod.askRandomMember()
+	}
+	if !fromStore {
+		return
+	}
+	members, asked := nod.view.Load().Members, 0
+	for _, index := range rand.Perm(len(members)) {
+		if mem := members[index]; mem.DataCentre == nod.self.DataCentre && mem.ID != nod.id && asked < spreadWithin {
+			nod.askVersionOf(mem.Peer)
+			asked++
 		}
 	}
 }
@@ -104,6 +121,7 @@
 	dispatcher.Start(nod.dispatcher, "configuration.heard", askTimeout, func(ctx context.Context) (*configuration.Configuration, error) {
 		return peer.Ask[versionRequest, *configuration.Configuration](ctx, nod.peerClient, address, askVersion, req)
 	}, func(cfg *configuration.Configuration, err error) {
+		nod.followers.RecordAsk(err)
 		if err == nil && cfg != nil {
 			nod.feed.ReceiveVersion(cfg)
 		}
--- a/io/hostnode/fleet_test.go
+++ b/io/hostnode/fleet_test.go
@@ -77,6 +77,8 @@
 	settings hostsettings.Settings
 	// storeUnreachable makes this host's requests for the configuration fail.
 	storeUnreachable atomic.Bool
+	// follows counts this host's requests for changes of the configuration.
+	follows atomic.Int64
 	// run, if set, executes the calls; without it each call is answered at once.
 	run  atomic.Pointer[func(ctx context.Context, cal call.Call) (answer.Answer, message.Message)]
 	runs atomic.Int64
@@ -94,6 +96,7 @@
 			return rea, nil
 		},
 		FollowConfiguration: func(ctx context.Context, revision uint64, _ time.Duration) (reading.Reading, error) {
+			hos.follows.Add(1)
 			for {
 				if hos.storeUnreachable.Load() {
 					return reading.Reading{}, io.ErrUnexpectedEOF
--- a/io/hostnode/node.go
+++ b/io/hostnode/node.go
@@ -14,6 +14,7 @@
 	"flamingoreach/core/configurationfeed"
 	"flamingoreach/core/control"
 	"flamingoreach/core/fleetretrybudget"
+	"flamingoreach/core/followers"
 	"flamingoreach/core/gate"
 	"flamingoreach/core/gcpacer"
 	"flamingoreach/core/leader"
@@ -109,6 +110,7 @@
 	localServer *localserver.Server
 	members     *membership.List
 	feed        *configurationfeed.Feed
+	followers   *followers.Followers
 	crashLink   *crashlink.Link
 	// hostsSeenAt maps the address of each host to the time at which it was last a live member.
 	hostsSeenAt map[netip.AddrPort]time.Time
@@ -142,6 +144,7 @@
 		hostsSeenAt: map[netip.AddrPort]time.Time{},
 		ready:       make(chan struct{}),
 	}
+	nod.followers = followers.New(nod.id, set.DataCentre)
 	nod.bounds.Store(&set.Bounds)
 	nod.dispatcher = &dispatcher.Dispatcher{Control: nod.control, Tasks: nod.tasks, Log: logger}
 	nod.self = member.Member{
--- a/io/hostnode/node_test.go
+++ b/io/hostnode/node_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -72,6 +73,50 @@
 	require.NotNil(t, ans.Refusal, "an older version is never applied")
 }
 
+// The load: a fleet whose calls to the store would grow with its hosts, as each change would wake each of them.
+func TestAFewHostsFollowTheStoreForTheOthers(t *testing.T) {
+	const size, followersAtOnce, inTime = 8, 3, time.Second
+	services := slices.Repeat([]string{"quotes"}, size)
+	sto := newStore(testConfiguration(1))
+	hosts := startFleet(t, sto, services...)
+	put := func(version uint64) (followed []*host) {
+		before := map[*host]int64{}
+		for _, hos := range hosts {
+			before[hos] = hos.follows.Load()
+		}
+		sto.put(testConfiguration(version))
+		began := time.Now()
+		require.Eventually(t, func() bool {
+			return !slices.ContainsFunc(hosts, func(hos *host) bool { return hos.View().Configuration.Version != version })
+		}, inTime, 5*time.Millisecond, "version %d", version)
+		t.Logf("version %d in force at all after %s", version, time.Since(began))
+		time.Sleep(500 * time.Millisecond)
+		for _, hos := range hosts {
+			if hos.follows.Load() > before[hos] {
+				followed = append(followed, hos)
+			}
+		}
+		return followed
+	}
+	put(2)
+	followed := put(3)
+	require.Len(t, followed, followersAtOnce)
+
+	// The store turns two of them away.
+	for _, hos := range followed[1:] {
+		hos.storeUnreachable.Store(true)
+	}
+	put(4)
+	put(5)
+
+	// The last one stops.
+	followed[0].stop()
+	require.NoError(t, <-followed[0].end)
+	hosts = slices.DeleteFunc(hosts, func(hos *host) bool { return hos == followed[0] })
+	put(6)
+	require.NotEmpty(t, put(7), "another host follows")
+}
+
 func TestAConfirmedDrainClosesTheGateAtOnce(t *testing.T) {
 	hosts := startFleet(t, newStore(testConfiguration(1)), "quotes", "quotes")
 	require.NoError(t, hosts[0].ReceiveAnnouncement(t.Context(), hosts[0].announcement(localserver.Draining, 2)))
