--- a/core/gcpacer/pacer.go
+++ b/core/gcpacer/pacer.go
@@ -22,7 +22,7 @@
 	// Collections are taken as frequent above busyCollections a second, and until they are below calmCollections. One takes
 	// some milliseconds, mostly for stacks and roots, however little garbage there is, so that their rate tells their cost.
 	// The bounds are further apart than the rates in the two states at the same load.
-	busyCollections, calmCollections = 3, 0.6
+	busyCollections, calmCollections = 6, 1.2
 )
 
 // Pacer adjusts the garbage collector to the processor utilisation. It is control state: its methods are called on the
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -16,6 +16,10 @@
 bash scripts/generate.sh --check
 echo "== usage pages"
 bash scripts/usage.sh --check
+echo "== tests named in the pages"
+grep -rohE '`Test[A-Za-z0-9_]+' docs | tr -d '`' | sort -u | while read -r name; do
+  git grep -q "func $name" -- '*_test.go' || { echo "the pages name $name, which no test file has"; exit 1; }
+done
 echo "== vet and build"
 go vet ./...
 go build ./...
