Allow the hosts of the shares to become unknown again

Cause: a list of hosts that empties and fills would have closed a channel twice; no node does that, as it counts itself. Change: the channel is closed once. Result: TestHostsMayBecomeUnknownAgain panicked before.

--- a/core/tokenshare/tokenshare.go
+++ b/core/tokenshare/tokenshare.go
@@ -57,6 +57,7 @@
 
 	// hostsKnown is closed once the hosts are known; awaitingHosts counts the calls that wait for that.
 	hostsKnown    chan struct{}
+	announceHosts sync.Once
 	awaitingHosts atomic.Int64
 
 	mut     sync.Mutex
@@ -128,9 +129,7 @@
 		return
 	}
 	now := time.Now()
-	if len(sha.hosts) == 0 {
-		close(sha.hostsKnown)
-	}
+	sha.announceHosts.Do(func() { close(sha.hostsKnown) })
 	sha.hosts = hosts
 	for name, buc := range sha.buckets {
 		buc.refill(now)
--- a/core/tokenshare/tokenshare_test.go
+++ b/core/tokenshare/tokenshare_test.go
@@ -284,3 +284,11 @@
 		}
 	})
 }
+
+func TestHostsMayBecomeUnknownAgain(t *testing.T) {
+	sha := tokenshare.New(addressesOf(1)[0])
+	for _, hosts := range []int{1, 0, 1} {
+		sha.SetHosts(addressesOf(hosts))
+	}
+	require.Nil(t, sha.Take(t.Context(), account), "an account without a rate")
+}
