--- a/io/hostnode/node_test.go
+++ b/io/hostnode/node_test.go
@@ -132,6 +132,24 @@
 	require.Equal(t, "h1 ", string(reply.Body), "a heartbeat that arrives out of order does not open the gate")
 }
 
+// Guards against a backend server that is used again after it has left: its node confirmed the drain and was restarted, and
+// a heartbeat from before the drain arrives late, as the first that the new process gets.
+func TestALateHeartbeatAfterARestartDoesNotReopenTheGate(t *testing.T) {
+	sto := newStore(testConfiguration(1))
+	hosts := startFleet(t, sto, "quotes", "quotes")
+	require.NoError(t, hosts[0].ReceiveAnnouncement(t.Context(), hosts[0].announcement(localserver.Draining, 2)))
+	hosts[0].stop()
+	require.NoError(t, <-hosts[0].end)
+	require.NoError(t, hosts[1].ReceiveAnnouncement(t.Context(), hosts[1].announcement(localserver.Serving, 2)))
+	before := hosts[0].runs.Load()
+	hosts[0].start(t, sto) // sends the first heartbeat, which says that the backend server is ready
+	require.Eventually(t, hosts[0].AcceptsCalls, testTime, 10*time.Millisecond)
+	for number := range 20 {
+		hosts[number%2].ask(t.Context(), fmt.Sprint(number), "/quotes/1", bearer)
+	}
+	require.Equal(t, before, hosts[0].runs.Load(), "calls to a backend server that drains")
+}
+
 func TestALeavingBackendServerStaysOutDespiteLaterAnnouncements(t *testing.T) {
 	hosts := startFleet(t, newStore(testConfiguration(1)), "quotes", "quotes")
 	require.NoError(t, hosts[0].DeregisterBackendServer(t.Context(), "h0"))
