--- /dev/null
+++ b/review/rig/store.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	// transactionTime is how long a transaction takes.
+	transactionTime = 5 * time.Millisecond
+	// feedPollInterval is the time between two looks for changes of a request that waits for them.
+	feedPollInterval = 10 * time.Millisecond
+	// pageRows bounds the rows of one answer.
+	pageRows = 500
+)
+
+// row is one row of a table of the store.
+type row struct {
+	TableName     string `json:"tableName"`
+	Part          string `json:"part"`
+	Key           string `json:"key"`
+	Value         []byte `json:"value,omitempty"`
+	RecordVersion uint64 `json:"recordVersion"`
+	Deleted       bool   `json:"deleted,omitempty"`
+}
+
+func (rw row) sameKey(other row) bool {
+	return rw.TableName == other.TableName && rw.Part == other.Part && rw.Key == other.Key
+}
+
+// store is the platform's store. While it is down it answers each call with 503, which means that nothing was done.
+type store struct {
+	rec *record
+
+	mut      sync.Mutex
+	down     bool
+	rows     []row
+	changes  []row
+	revision uint64
+	started  time.Time
+}
+
+func newStore(rec *record) *store { return &store{rec: rec, started: time.Now()} }
+
+func (sto *store) setDown(down bool) {
+	sto.mut.Lock()
+	defer sto.mut.Unlock()
+	sto.down = down
+	sto.rec.say("the store is down: %t", down)
+}
+
+func (sto *store) isDown() bool {
+	sto.mut.Lock()
+	defer sto.mut.Unlock()
+	return sto.down
+}
+
+// putConfiguration writes the configuration as the admin does.
+func (sto *store) putConfiguration(text []byte) {
+	sto.mut.Lock()
+	defer sto.mut.Unlock()
+	sto.revision++
+	sto.writeLocked(row{TableName: "op", Key: "config", Value: text})
+}
+
+func (sto *store) writeLocked(changed row) {
+	changed.RecordVersion = sto.revision
+	sto.rows = slices.DeleteFunc(sto.rows, changed.sameKey)
+	if !changed.Deleted {
+		sto.rows = append(sto.rows, changed)
+	}
+	sto.changes = append(sto.changes, changed)
+}
+
+// ServeHTTP answers one call.
+func (sto *store) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
+	if sto.isDown() {
+		sto.rec.write("store: %s %s from %s -> 503", req.Method, req.URL, req.RemoteAddr)
+		wri.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	switch req.URL.Path {
+	case "/v1/rows-get":
+		sto.get(wri, req)
+	case "/v1/rows-feed":
+		sto.feed(wri, req)
+	case "/v1/rows-tx":
+		sto.transact(wri, req)
+	default:
+		wri.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (sto *store) get(wri http.ResponseWriter, req *http.Request) {
+	query := req.URL.Query()
+	table, part, from, until := query.Get("tableName"), query.Get("part"), query.Get("from"), query.Get("target")
+	sto.mut.Lock()
+	found := []row{}
+	for _, rw := range sto.rows {
+		if rw.TableName == table && rw.Part == part && rw.Key >= from && (until == "" || rw.Key < until) {
+			found = append(found, rw)
+		}
+	}
+	revision := sto.revision
+	sto.mut.Unlock()
+	slices.SortFunc(found, func(rw, other row) int { return cmp.Compare(rw.Key, other.Key) })
+	more := len(found) > pageRows
+	found = found[:min(len(found), pageRows)]
+	sto.rec.write("store: rows of %s read from %s: %d", table, req.RemoteAddr, len(found))
+	sto.reply(wri, http.StatusOK, map[string]any{"rows": found, "hasMore": more, "recordVersion": revision})
+}
+
+func (sto *store) feed(wri http.ResponseWriter, req *http.Request) {
+	query := req.URL.Query()
+	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(query.Get("waitMs"))
+	until := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	for {
+		found, revision := sto.changedSince(query.Get("tableName"), after)
+		if len(found) > 0 || time.Now().After(until) {
+			sto.reply(wri, http.StatusOK, map[string]any{"rows": found, "recordVersion": revision})
+			return
+		}
+		if sto.isDown() {
+			wri.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		select {
+		case <-time.After(feedPollInterval):
+		case <-req.Context().Done():
+			return
+		}
+	}
+}
+
+func (sto *store) changedSince(table string, after uint64) ([]row, uint64) {
+	sto.mut.Lock()
+	defer sto.mut.Unlock()
+	found := []row{}
+	for _, rw := range sto.changes {
+		if rw.TableName == table && rw.RecordVersion > after {
+			found = append(found, rw)
+		}
+	}
+	return found, sto.revision
+}
+
+func (sto *store) transact(wri http.ResponseWriter, req *http.Request) {
+	var tra struct{ ExpectedRev, Writes, Remove []row }
+	if err := json.NewDecoder(req.Body).Decode(&tra); err != nil {
+		wri.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	time.Sleep(transactionTime)
+	sto.mut.Lock()
+	current := []row{}
+	holds := true
+	for _, expected := range tra.ExpectedRev {
+		version := uint64(0)
+		if at := slices.IndexFunc(sto.rows, expected.sameKey); at >= 0 {
+			version = sto.rows[at].RecordVersion
+			current = append(current, sto.rows[at])
+		}
+		holds = holds && version == expected.RecordVersion
+	}
+	if holds {
+		sto.revision++
+		for _, rw := range tra.Writes {
+			sto.writeLocked(rw)
+		}
+		for _, rw := range tra.Remove {
+			rw.Deleted = true
+			sto.writeLocked(rw)
+		}
+	}
+	revision := sto.revision
+	sto.mut.Unlock()
+	sto.rec.write("store: transaction from %s, %d writes, %d removals, applied: %t", req.RemoteAddr, len(tra.Writes), len(tra.Remove), holds)
+	if !holds {
+		sto.reply(wri, http.StatusPreconditionFailed, map[string]any{"rows": current, "recordVersion": revision})
+		return
+	}
+	sto.reply(wri, http.StatusOK, map[string]any{"recordVersion": revision})
+}
+
+func (sto *store) reply(wri http.ResponseWriter, status int, fields map[string]any) {
+	fields["nowMs"] = time.Since(sto.started).Milliseconds()
+	wri.Header().Set("Content-Type", "application/json")
+	wri.WriteHeader(status)
+	_ = json.NewEncoder(wri).Encode(fields)
+}
