--- a/review/rig/backend.go
+++ b/review/rig/backend.go
@@ -73,7 +73,8 @@
 	mut   sync.Mutex
 	busy  int
 	state string
-	seq   uint64
+	// seq is the number of the next heartbeat.
+	seq uint64
 	// hold, if set, is called with each heartbeat's state and its number before it is sent; it reports whether the
 	// heartbeat is held up on the way for that long.
 	hold func(state string, seq uint64) time.Duration
@@ -176,8 +177,8 @@
 // heartbeat sends one heartbeat and reports whether it was acknowledged.
 func (bac *backend) heartbeat(ctx context.Context) bool {
 	bac.mut.Lock()
-	bac.seq++
 	state, seq, hold := bac.state, bac.seq, bac.hold
+	bac.seq++
 	bac.mut.Unlock()
 	body, err := json.Marshal(map[string]any{
 		"service": bac.service, "address": bac.address.String(), "zone": bac.zone, "version": "v1", "slots": slots,
--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -58,12 +58,11 @@
 	folder   string
 	machines []*machine
 	servers  []*http.Server
-	address  netip.AddrPort
 }
 
 func (mac *machine) at(port uint16) netip.AddrPort { return netip.AddrPortFrom(mac.address, port) }
 
-// newDeployment binds the store and the backend servers; it fails if an address is in use.
+// newDeployment binds the backend servers and, at an address of its own for each machine, the store; it fails if an address is in use.
 func newDeployment(ctx context.Context, rec *record, sites ...site) (*deployment, error) {
 	folder, err := os.MkdirTemp("", "review")
 	if err != nil {
@@ -75,19 +74,18 @@
 	network := func(last byte) netip.Addr {
 		return netip.AddrFrom4([4]byte{127, byte(128 + process%64), byte(process / 64 % 256), last})
 	}
-	dep.address = netip.AddrPortFrom(network(250), storePort)
-	if err := dep.serve(ctx, dep.address, dep.store); err != nil {
-		return dep, err
-	}
 	for number, sit := range sites {
 		mac := &machine{site: sit, dep: dep, address: network(byte(number + 1))}
 		mac.back = &backend{
-			rec: rec, led: dep.led, service: sit.service, zone: sit.zone, id: "i-" + sit.name, state: "ready",
+			rec: rec, led: dep.led, service: sit.service, zone: sit.zone, id: "i-" + sit.name, state: "ready", seq: 1,
 			address: mac.at(backendPort), control: mac.at(controlPort), born: time.Now().UnixMilli(), call: mac.call,
 		}
 		if err := dep.serve(ctx, mac.at(backendPort), mac.back); err != nil {
 			return dep, err
 		}
+		if err := dep.serve(ctx, mac.at(storePort), &endpoint{store: dep.store, name: sit.name}); err != nil {
+			return dep, err
+		}
 		if err := mac.writeSettings(); err != nil {
 			return dep, err
 		}
@@ -201,7 +199,7 @@
 quotaSlack = 20
 recoverS = 15
 `, mac.name, mac.address, mac.zone, mac.at(backendPort), mac.service, firstPort, lastPort, mac.at(backendPort-4), mac.at(callersPort),
-		mac.at(readyPort), mac.at(controlPort), mac.dep.address)
+		mac.at(readyPort), mac.at(controlPort), mac.at(storePort))
 	return os.WriteFile(mac.settingsFile(), []byte(text), 0o600)
 }
 
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -25,6 +25,15 @@
 var cases = map[string]func(ctx context.Context, rec *record, trouble bool) (broken bool, err error){
 	"stop":       playStop,
 	"firstStart": playFirstStart,
+	"uploads":    playUploads,
+	"killFollowers": func(ctx context.Context, rec *record, trouble bool) (bool, error) {
+		return playFollowers(ctx, rec, trouble, true)
+	},
+	"denyFollowers": func(ctx context.Context, rec *record, trouble bool) (bool, error) {
+		return playFollowers(ctx, rec, trouble, false)
+	},
+	"lateFirst":        playLateFirst,
+	"lateAfterRestart": playLateAfterRestart,
 }
 
 func main() { os.Exit(play(os.Args[1:])) }
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -37,15 +37,21 @@
 type store struct {
 	rec *record
 
-	mut      sync.Mutex
-	down     bool
-	rows     []row
-	changes  []row
-	revision uint64
-	started  time.Time
+	mut  sync.Mutex
+	down bool
+	// turnedAway holds the machines whose calls are answered with 503.
+	turnedAway map[string]bool
+	// following counts the calls of each machine that wait for changes of the configuration.
+	following map[string]int
+	rows      []row
+	changes   []row
+	revision  uint64
+	started   time.Time
 }
 
-func newStore(rec *record) *store { return &store{rec: rec, started: time.Now()} }
+func newStore(rec *record) *store {
+	return &store{rec: rec, turnedAway: map[string]bool{}, following: map[string]int{}, started: time.Now()}
+}
 
 func (sto *store) setDown(down bool) {
 	sto.mut.Lock()
@@ -54,10 +60,47 @@
 	sto.rec.say("the store is down: %t", down)
 }
 
-func (sto *store) isDown() bool {
+// turnAway makes the store answer each call of some machines with 503, or serve them again.
+func (sto *store) turnAway(machines []string, away bool) {
+	sto.mut.Lock()
+	defer sto.mut.Unlock()
+	for _, name := range machines {
+		sto.turnedAway[name] = away
+	}
+	sto.rec.say("the store turns away %v: %t", machines, away)
+}
+
+// followers returns the machines of which a call waits for changes of the configuration.
+func (sto *store) followers() []string {
+	sto.mut.Lock()
+	defer sto.mut.Unlock()
+	var names []string
+	for name, count := range sto.following {
+		if count > 0 {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (sto *store) countFollowing(name string, change int) {
 	sto.mut.Lock()
 	defer sto.mut.Unlock()
-	return sto.down
+	sto.following[name] += change
+}
+
+// endpoint is the store as one machine reaches it.
+type endpoint struct {
+	*store
+	name string
+}
+
+// refuses reports whether the store answers a call with 503.
+func (end *endpoint) refuses() bool {
+	end.mut.Lock()
+	defer end.mut.Unlock()
+	return end.down || end.turnedAway[end.name]
 }
 
 // putConfiguration writes the configuration as the admin does.
@@ -78,55 +121,57 @@
 }
 
 // ServeHTTP answers one call.
-func (sto *store) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
-	if sto.isDown() {
-		sto.rec.write("store: %s %s from %s -> 503", req.Method, req.URL, req.RemoteAddr)
+func (end *endpoint) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
+	if end.refuses() {
+		end.rec.write("store: %s %s from %s -> 503", req.Method, req.URL, end.name)
 		wri.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	switch req.URL.Path {
 	case "/v1/rows-get":
-		sto.get(wri, req)
+		end.get(wri, req)
 	case "/v1/rows-feed":
-		sto.feed(wri, req)
+		end.feed(wri, req)
 	case "/v1/rows-tx":
-		sto.transact(wri, req)
+		end.transact(wri, req)
 	default:
 		wri.WriteHeader(http.StatusNotFound)
 	}
 }
 
-func (sto *store) get(wri http.ResponseWriter, req *http.Request) {
+func (end *endpoint) get(wri http.ResponseWriter, req *http.Request) {
 	query := req.URL.Query()
 	table, part, from, until := query.Get("tableName"), query.Get("part"), query.Get("from"), query.Get("target")
-	sto.mut.Lock()
+	end.mut.Lock()
 	found := []row{}
-	for _, rw := range sto.rows {
+	for _, rw := range end.rows {
 		if rw.TableName == table && rw.Part == part && rw.Key >= from && (until == "" || rw.Key < until) {
 			found = append(found, rw)
 		}
 	}
-	revision := sto.revision
-	sto.mut.Unlock()
+	revision := end.revision
+	end.mut.Unlock()
 	slices.SortFunc(found, func(rw, other row) int { return cmp.Compare(rw.Key, other.Key) })
 	more := len(found) > pageRows
 	found = found[:min(len(found), pageRows)]
-	sto.rec.write("store: rows of %s read from %s: %d", table, req.RemoteAddr, len(found))
-	sto.reply(wri, http.StatusOK, map[string]any{"rows": found, "hasMore": more, "recordVersion": revision})
+	end.rec.write("store: rows of %s read from %s: %d", table, end.name, len(found))
+	end.reply(wri, http.StatusOK, map[string]any{"rows": found, "hasMore": more, "recordVersion": revision})
 }
 
-func (sto *store) feed(wri http.ResponseWriter, req *http.Request) {
+func (end *endpoint) feed(wri http.ResponseWriter, req *http.Request) {
 	query := req.URL.Query()
 	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(query.Get("waitMs"))
 	until := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	end.countFollowing(end.name, 1)
+	defer end.countFollowing(end.name, -1)
 	for {
-		found, revision := sto.changedSince(query.Get("tableName"), after)
+		found, revision := end.changedSince(query.Get("tableName"), after)
 		if len(found) > 0 || time.Now().After(until) {
-			sto.reply(wri, http.StatusOK, map[string]any{"rows": found, "recordVersion": revision})
+			end.reply(wri, http.StatusOK, map[string]any{"rows": found, "recordVersion": revision})
 			return
 		}
-		if sto.isDown() {
+		if end.refuses() {
 			wri.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
@@ -150,42 +195,42 @@
 	return found, sto.revision
 }
 
-func (sto *store) transact(wri http.ResponseWriter, req *http.Request) {
+func (end *endpoint) transact(wri http.ResponseWriter, req *http.Request) {
 	var tra struct{ ExpectedRev, Writes, Remove []row }
 	if err := json.NewDecoder(req.Body).Decode(&tra); err != nil {
 		wri.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	time.Sleep(transactionTime)
-	sto.mut.Lock()
+	end.mut.Lock()
 	current := []row{}
 	holds := true
 	for _, expected := range tra.ExpectedRev {
 		version := uint64(0)
-		if at := slices.IndexFunc(sto.rows, expected.sameKey); at >= 0 {
-			version = sto.rows[at].RecordVersion
-			current = append(current, sto.rows[at])
+		if at := slices.IndexFunc(end.rows, expected.sameKey); at >= 0 {
+			version = end.rows[at].RecordVersion
+			current = append(current, end.rows[at])
 		}
 		holds = holds && version == expected.RecordVersion
 	}
 	if holds {
-		sto.revision++
+		end.revision++
 		for _, rw := range tra.Writes {
-			sto.writeLocked(rw)
+			end.writeLocked(rw)
 		}
 		for _, rw := range tra.Remove {
 			rw.Deleted = true
-			sto.writeLocked(rw)
+			end.writeLocked(rw)
 		}
 	}
-	revision := sto.revision
-	sto.mut.Unlock()
-	sto.rec.write("store: transaction from %s, %d writes, %d removals, applied: %t", req.RemoteAddr, len(tra.Writes), len(tra.Remove), holds)
+	revision := end.revision
+	end.mut.Unlock()
+	end.rec.write("store: transaction from %s, %d writes, %d removals, applied: %t", end.name, len(tra.Writes), len(tra.Remove), holds)
 	if !holds {
-		sto.reply(wri, http.StatusPreconditionFailed, map[string]any{"rows": current, "recordVersion": revision})
+		end.reply(wri, http.StatusPreconditionFailed, map[string]any{"rows": current, "recordVersion": revision})
 		return
 	}
-	sto.reply(wri, http.StatusOK, map[string]any{"recordVersion": revision})
+	end.reply(wri, http.StatusOK, map[string]any{"recordVersion": revision})
 }
 
 func (sto *store) reply(wri http.ResponseWriter, status int, fields map[string]any) {
