--- a/review/rig/backend.go
+++ b/review/rig/backend.go
@@ -23,8 +23,8 @@
 
 // run is one request that a backend server has begun to work on.
 type run struct {
-	id, service, server, tenant, caller, path string
-	at                                        time.Duration
+	id, server, host, target string
+	at                       time.Duration
 }
 
 // ledger holds all runs; it is safe for concurrent use.
@@ -109,11 +109,8 @@
 	}
 	defer bac.leave()
 	_, _ = io.Copy(io.Discard, req.Body)
-	bac.led.add(run{
-		id: id, service: bac.service, server: bac.id, tenant: req.Header.Get("Tenant"), caller: req.Header.Get("Caller-Service"),
-		path: req.URL.Path, at: bac.rec.since(),
-	})
-	bac.rec.write("%s runs %s %s %s", bac.id, id, req.Method, req.URL)
+	bac.led.add(run{id: id, server: bac.id, host: req.Host, target: req.RequestURI, at: bac.rec.since()})
+	bac.rec.write("%s runs %s %s %s", bac.id, id, req.Method, req.RequestURI)
 	work, _ := strconv.Atoi(req.URL.Query().Get("work"))
 	ctx, cancel := req.Context(), context.CancelFunc(func() {})
 	if left > 0 {
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -29,6 +29,7 @@
 	"uploads":          playUploads,
 	"lowerLimit":       playLowerLimit,
 	"slowReaders":      playSlowReaders,
+	"paths":            playPaths,
 	"lateFirst":        playLateFirst,
 	"lateAfterRestart": playLateAfterRestart,
 }
