--- a/review/rig/uploads.go
+++ b/review/rig/uploads.go
@@ -19,7 +19,7 @@
 	uploadsPerSecond = 20
 	// uploadWork is how long the backend server works on an upload, in milliseconds, and slowFactor how many times as long
 	// while it is slow, which lasts for slowTime.
-	uploadWork = 300
+	uploadWork = 350
 	slowFactor = 5
 	slowTime   = 6500 * time.Millisecond
 	// usualTime is how long uploads come before and after that.
