--- a/review/rig/followers.go
+++ b/review/rig/followers.go
@@ -17,8 +17,8 @@
 	turnedAwayTime = 9 * time.Second
 	// beforeChange is how long the store has turned machines away when the key is withdrawn.
 	beforeChange = 500 * time.Millisecond
-	// followerMachines is the number of machines; the store turns away three of them.
-	followerMachines = 10
+	// followerMachines is the number of machines, and turnedAwayMachines that of those which the store turns away.
+	followerMachines, turnedAwayMachines = 10, 3
 	// probeInterval is the time between two requests with the withdrawn key at one machine.
 	probeInterval = 100 * time.Millisecond
 	withdrawnKey  = "8pjbvk9m68k7b2ex5wa5"
@@ -48,6 +48,9 @@
 	time.Sleep(3 * calmTime)
 	away := dep.store.followers()
 	rec.say("calls wait for changes at the store from %v", away)
+	if len(away) != turnedAwayMachines {
+		return false, fmt.Errorf("want %d machines that follow the store", turnedAwayMachines)
+	}
 	if trouble {
 		dep.store.turnAway(away, true)
 	}
--- a/review/rig/keptcaller.go
+++ b/review/rig/keptcaller.go
@@ -30,6 +30,7 @@
 			ends := false
 			ends, res.failure = res.exchangeOnKept(con, reader)
 			res.ended = rec.since()
+			rec.write("caller: %v", res)
 			results = append(results, res)
 			// A sound caller waits as it is told after a refusal.
 			if res.status == http.StatusServiceUnavailable {
