Refuse late requests of a stop that need no key as well

Cause: the stop window took deeper calls until 1 s before the end, whatever their deadline was, and each request without a key counts as a deeper call where there are client accounts.

Change: a late request is taken only if its deadline lies within the stop, which now leaves time for the answer at a deadline. A row of TestLateRequestsAreTakenOnlyIfTheyEndInTime demanded the fault (a deeper call whose deadline is 2.7 s beyond the end is taken); it now demands the refusal, and no row fewer.

--- a/core/stopwindow/window_test.go
+++ b/core/stopwindow/window_test.go
@@ -15,18 +15,18 @@
 	win := stopwindow.New(began, at(5300*time.Millisecond))
 	for name, test := range map[string]struct {
 		arrives, deadline time.Duration
-		deeper, admitted  bool
+		admitted          bool
 	}{
-		"callers have not noticed yet":   {2 * time.Second, 8 * time.Second, false, true},
-		"late, ends in time":             {4 * time.Second, 5300 * time.Millisecond, false, true},
-		"late, may last too long":        {4 * time.Second, 5301 * time.Millisecond, false, false},
-		"deeper, of work that runs":      {4 * time.Second, 8 * time.Second, true, true},
-		"deeper, just before the end":    {5 * time.Second, 8 * time.Second, true, false},
-		"deeper, ends just in time":      {5 * time.Second, 5200 * time.Millisecond, true, true},
-		"after the end, deadline passed": {6 * time.Second, 7 * time.Second, false, false},
+		"callers have not noticed yet":   {2 * time.Second, 8 * time.Second, true},
+		"late, ends in time":             {4 * time.Second, 5300 * time.Millisecond, true},
+		"late, may last too long":        {4 * time.Second, 5301 * time.Millisecond, false},
+		"late, lasts far too long":       {4 * time.Second, 8 * time.Second, false},
+		"just before the end":            {5 * time.Second, 8 * time.Second, false},
+		"ends just in time":              {5 * time.Second, 5200 * time.Millisecond, true},
+		"after the end, deadline passed": {6 * time.Second, 7 * time.Second, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			require.Equal(t, test.admitted, win.Admits(at(test.arrives), at(test.deadline), test.deeper))
+			require.Equal(t, test.admitted, win.Admits(at(test.arrives), at(test.deadline)))
 		})
 	}
 }
@@ -34,6 +34,6 @@
 func TestAShortStopLeavesTimeForTheRequestsThatItTakes(t *testing.T) {
 	began := time.Unix(1000, 0)
 	win := stopwindow.New(began, began.Add(2*time.Second))
-	require.True(t, win.Admits(began.Add(900*time.Millisecond), began.Add(5*time.Second), false))
-	require.False(t, win.Admits(began.Add(1100*time.Millisecond), began.Add(5*time.Second), false))
+	require.True(t, win.Admits(began.Add(900*time.Millisecond), began.Add(5*time.Second)))
+	require.False(t, win.Admits(began.Add(1100*time.Millisecond), began.Add(5*time.Second)))
 }
--- a/io/hostnode/calls.go
+++ b/io/hostnode/calls.go
@@ -98,7 +98,7 @@
 		// deeper calls.
 		nod.retryBudget.Earn(cal.Service)
 	}
-	if win := nod.stopWindow.Load(); win != nil && !win.Admits(started, cal.Deadline, cal.Depth > 0) {
+	if win := nod.stopWindow.Load(); win != nil && !win.Admits(started, cal.Deadline) {
 		ref := refusal.NotRun(reason.Draining, "take request during the stop")
 		ref.RetryAfter = elsewhereAfter
 		return nod.refuseRequest(cal, req, ref, started)
--- a/io/hostnode/fleet_test.go
+++ b/io/hostnode/fleet_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -226,9 +227,14 @@
 	}, message.Message{Method: http.MethodGet, Target: path, Header: http.Header{}})
 }
 
-// ServeHTTP serves callers' requests by their path alone, without the platform's protocol.
+// ServeHTTP serves callers' requests by their path alone, without the platform's protocol. Those on the open route come
+// without a key.
 func (hos *host) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
-	ans, reply := hos.ask(req.Context(), req.URL.Path, req.URL.Path, bearer)
+	credential := bearer
+	if strings.HasPrefix(req.URL.Path, "/open/") {
+		credential = ""
+	}
+	ans, reply := hos.ask(req.Context(), req.URL.Path, req.URL.Path, credential)
 	if ans.Refusal != nil {
 		wri.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/io/hostnode/node_test.go
+++ b/io/hostnode/node_test.go
@@ -183,8 +183,25 @@
 // Guards against requests that come late in a stop, are passed on and are cut at its end: a call at the gate keeps the
 // listeners open until the deadline of the drain, and callers go on sending requests.
 func TestRequestsThatComeLateInAStopAreAnsweredOrRefusedAsNotRun(t *testing.T) {
-	const interval, serviceTime = 400 * time.Millisecond, 1200 * time.Millisecond
-	hosts := startFleet(t, newStore(testConfiguration(1)), "quotes", "confirms")
+	requireNoneIsCutByAStop(t, "/confirms/")
+}
+
+// Guards against requests on open routes, which may be calls of the backend server, that a stop takes late and cuts
+// because it does not compare their deadline with its end.
+func TestRequestsWithoutAKeyThatComeLateInAStopAreNotCut(t *testing.T) {
+	requireNoneIsCutByAStop(t, "/open/")
+}
+
+// requireNoneIsCutByAStop stops a host whose gate is in use until the end of the stop, and sends requests all the while,
+// each of which another host takes longer to run than the end of the stop leaves the last ones.
+func requireNoneIsCutByAStop(t *testing.T, prefix string) {
+	t.Helper()
+	const interval, serviceTime = 600 * time.Millisecond, 1500 * time.Millisecond
+	cfg := testConfiguration(1)
+	open := cfg.Routes[1]
+	open.Name, open.PathPrefix, open.Open = "open", "/open/", true
+	cfg.Routes = append(cfg.Routes, open)
+	hosts := startFleet(t, newStore(cfg), "quotes", "confirms")
 	block := make(chan struct{})
 	defer close(block)
 	hosts[0].setRun(func(context.Context, call.Call) (answer.Answer, message.Message) {
@@ -208,7 +225,7 @@
 	began, sent := time.Now(), 0
 	ended := false
 	for !ended {
-		path := fmt.Sprint("/confirms/", sent)
+		path := fmt.Sprint(prefix, sent)
 		go func() {
 			started := time.Now()
 			status, err := hosts[0].callOverHTTP(context.Background(), path)
--- a/io/hostnode/run.go
+++ b/io/hostnode/run.go
@@ -106,7 +106,7 @@
 	began := time.Now()
 	drainDeadline := began.Add(nod.bounds.Load().StopTime * drainParts / stopTimeParts)
 	nod.closeDeadline = drainDeadline.Add(closeTimeout)
-	nod.stopWindow.Store(stopwindow.New(began, nod.closeDeadline))
+	nod.stopWindow.Store(stopwindow.New(began, nod.closeDeadline.Add(-answerGrace)))
 	ctx, cancel := context.WithDeadline(context.Background(), drainDeadline)
 	defer cancel()
 	nod.leaving.Store(true)
