Follow the store in place of followers that have lost it

Cause: the other nodes rely on the followers as long as these answer, and never learn that they have lost the store. The store's record shows no call of the others and 429 to each call of the followers in that time.

Change: requests between nodes carry the latest confirmation by the store. Once none is heard of for 1.6 s, the next three nodes of the data centre follow, whatever the cause of the silence is. A node counts as confirmed only while the store answers it; the long request lasts 4 s, not 6, so that silence is noticed within the stretched bound.

--- a/core/configurationfeed/feed.go
+++ b/core/configurationfeed/feed.go
@@ -21,9 +21,11 @@
 type Feed struct {
 	// Read starts to read the whole configuration; the result goes to HandleAnswer.
 	Read func()
-	// Follow starts a request that the store answers at the next change after a revision, or after a while without a
-	// change; the result goes to HandleAnswer.
-	Follow func(revision uint64)
+	// Check starts a request that the store answers at once with the changes after a revision. Follow starts one that it
+	// answers at the next change, or after LongestWait without a change. The results go to HandleAnswer.
+	Check       func(revision uint64)
+	Follow      func(revision uint64)
+	LongestWait time.Duration
 	// Follows reports whether this node follows the store itself, rather than rely on other nodes for new versions.
 	Follows func() bool
 	// Publish is called with each version that comes into force.
@@ -35,14 +37,16 @@
 	// Random returns a number from 0 to 1.
 	Random func() float64
 
-	state            string
-	revision         uint64
-	current          *configuration.Configuration
-	answer           reading.Reading
-	err              error
-	due              time.Time
-	pause            time.Duration
-	unreachableSince time.Time
+	state    string
+	revision uint64
+	current  *configuration.Configuration
+	answer   reading.Reading
+	err      error
+	due      time.Time
+	// followedAt is when the pending request of Follow was sent, confirmedAt when the store last answered.
+	followedAt, confirmedAt time.Time
+	pause                   time.Duration
+	unreachableSince        time.Time
 }
 
 var chart = machine.MustNew(charts.MustLoad("configurationFeed"),
@@ -53,7 +57,8 @@
 	},
 	map[string]func(*Feed){
 		"read":            func(fee *Feed) { fee.Read() },
-		"follow":          func(fee *Feed) { fee.Follow(fee.revision) },
+		"check":           func(fee *Feed) { fee.Check(fee.revision) },
+		"follow":          (*Feed).follow,
 		"acceptAnswer":    (*Feed).acceptAnswer,
 		"markReachable":   (*Feed).markReachable,
 		"markUnreachable": (*Feed).markUnreachable,
@@ -73,6 +78,20 @@
 // Current returns the version in force, or nil.
 func (fee *Feed) Current() *configuration.Configuration { return fee.current }
 
+// ConfirmedAt returns the time at which the version in force was known to be the newest in the store, or zero if the store
+// has never answered. While a request of Follow is pending that is the present, since the store would have answered,
+// unless the answer is overdue.
+func (fee *Feed) ConfirmedAt() time.Time {
+	if fee.state != "following" {
+		return fee.confirmedAt
+	}
+	now, overdue := time.Now(), fee.followedAt.Add(fee.LongestWait)
+	if now.After(overdue) {
+		return overdue
+	}
+	return now
+}
+
 // Tick sends a request to the store when one is due.
 func (fee *Feed) Tick() {
 	if !time.Now().Before(fee.due) {
@@ -98,7 +117,13 @@
 // ReceiveVersion accepts a version from another node if it is newer than the one in force.
 func (fee *Feed) ReceiveVersion(cfg *configuration.Configuration) { fee.offer(cfg, "peer") }
 
+func (fee *Feed) follow() {
+	fee.followedAt = time.Now()
+	fee.Follow(fee.revision)
+}
+
 func (fee *Feed) acceptAnswer() {
+	fee.confirmedAt = time.Now()
 	fee.revision = max(fee.revision, fee.answer.Revision)
 	if fee.answer.Configuration != nil {
 		fee.offer(fee.answer.Configuration, "store")
--- a/io/hostnode/configuration.go
+++ b/io/hostnode/configuration.go
@@ -9,13 +9,16 @@
 	"flamingoreach/core/configuration"
 	"flamingoreach/core/configurationfeed/reading"
 	"flamingoreach/core/directory"
+	"flamingoreach/core/followers/confirmation"
 	"flamingoreach/core/member"
 	"flamingoreach/io/dispatcher"
 	"flamingoreach/io/peer"
 )
 
 const (
-	askVersion = "AskVersion"
+	askVersion = "AskConfirmedVersion"
+	// askBareVersion is the message by which nodes of the former release ask for a version. Its answer has no confirmation.
+	askBareVersion = "AskVersion"
 	// versionAsksPerBound is the number of other nodes that this node asks for their version within the time in which a
 	// new version must be in force. The store may refuse to serve this host, which then depends on the other nodes.
 	versionAsksPerBound = 5
@@ -26,14 +29,22 @@
 	spreadWithin   = 24
 	// followWait is how long the store delays its answer while the configuration does not change (long polling). It bounds
 	// the time for which a node whose answer was lost does not notice that.
-	followWait = 6 * time.Second
+	followWait = 4 * time.Second
 )
 
-// versionRequest asks a node for a newer version than the sender's. It carries the sender's version and its address, at
-// which the receiver can ask for that version in turn.
+// versionRequest asks a node for a newer version than the sender's. It carries the sender's version, its address, at which
+// the receiver can ask for that version in turn, and the latest confirmation that the sender knows of.
 type versionRequest struct {
-	Version uint64         `json:"version" cbor:"1,keyasint"`
-	Peer    netip.AddrPort `json:"peer" cbor:"2,keyasint"`
+	Version      uint64                    `json:"version" cbor:"1,keyasint"`
+	Peer         netip.AddrPort            `json:"peer" cbor:"2,keyasint"`
+	Confirmation confirmation.Confirmation `json:"confirmation" cbor:"3,keyasint"`
+}
+
+// versionAnswer holds the version in force, or nil if it is not newer than that of the request, and the latest confirmation
+// that the answering node knows of.
+type versionAnswer struct {
+	Configuration *configuration.Configuration `json:"configuration,omitempty" cbor:"1,keyasint,omitempty"`
+	Confirmation  confirmation.Confirmation    `json:"confirmation" cbor:"2,keyasint"`
 }
 
 // setUpConfiguration connects the configuration feed with the store and the other nodes.
@@ -41,12 +52,21 @@
 	nod.feed.Read = func() {
 		dispatcher.Start(nod.dispatcher, "configuration.read", storeTimeout, nod.platform.ReadConfiguration, nod.feed.HandleAnswer)
 	}
+	nod.feed.Check = func(revision uint64) {
+		dispatcher.Start(nod.dispatcher, "configuration.checked", storeTimeout, func(ctx context.Context) (reading.Reading, error) {
+			return nod.platform.FollowConfiguration(ctx, revision, 0)
+		}, nod.feed.HandleAnswer)
+	}
+	nod.feed.LongestWait = followWait
 	nod.feed.Follow = func(revision uint64) {
 		dispatcher.Start(nod.dispatcher, "configuration.changed", followWait+storeTimeout, func(ctx context.Context) (reading.Reading, error) {
 			return nod.platform.FollowConfiguration(ctx, revision, followWait)
 		}, nod.feed.HandleAnswer)
 	}
 	nod.feed.Follows = func() bool { return nod.followers.IncludeSelf(nod.view.Load().Members) }
+	nod.followers.OnStandIn = func(standsIn bool, since time.Duration) {
+		nod.log.Info("following for others", "follows", standsIn, "lastConfirmed", since, "version", nod.feed.Version())
+	}
 	nod.feed.Publish = nod.applyConfiguration
 	nod.feed.OnUnreachable = func(err error) { nod.log.Warn("store lost", "version", nod.feed.Version(), "error", err) }
 	nod.feed.OnReachable = func(after time.Duration) {
@@ -54,8 +74,12 @@
 	}
 	nod.control.AddTicker(nod.feed.Tick)
 	nod.control.AddTicker(nod.tickVersions)
-	peer.Handle(nod.peerServer, askVersion, func(ctx context.Context, req versionRequest) (*configuration.Configuration, error) {
-		return dispatcher.OnControl(ctx, nod.dispatcher, "configuration.asked", req, func() *configuration.Configuration { return nod.answerVersion(req) })
+	peer.Handle(nod.peerServer, askVersion, func(ctx context.Context, req versionRequest) (versionAnswer, error) {
+		return dispatcher.OnControl(ctx, nod.dispatcher, "configuration.asked", req, func() versionAnswer { return nod.answerVersion(req) })
+	})
+	peer.Handle(nod.peerServer, askBareVersion, func(ctx context.Context, req versionRequest) (*configuration.Configuration, error) {
+		ans, err := dispatcher.OnControl(ctx, nod.dispatcher, "configuration.asked", req, func() versionAnswer { return nod.answerVersion(req) })
+		return ans.Configuration, err
 	})
 }
 
@@ -90,11 +114,17 @@
 // tickVersions asks one other node for its version at regular intervals.
 func (nod *Node) tickVersions() {
 	if now := time.Now(); !now.Before(nod.nextVersionAsk) {
-		nod.nextVersionAsk = now.Add(nod.bounds.Load().ConfigurationTime / versionAsksPerBound)
+		nod.nextVersionAsk = now.Add(nod.askInterval())
+		nod.versionConfirmedAt.Store(now.Add(-nod.confirmation().Age).UnixNano())
 		nod.askRandomMember()
 	}
 }
 
+// askInterval is the time between two requests to other nodes for their version.
+func (nod *Node) askInterval() time.Duration {
+	return nod.bounds.Load().ConfigurationTime / versionAsksPerBound
+}
+
 // askRandomMember asks a random other node for a newer version than this node's. The request carries this node's
 // version.
 func (nod *Node) askRandomMember() {
@@ -117,26 +147,39 @@
 }
 
 func (nod *Node) askVersionOf(address netip.AddrPort) {
-	req := versionRequest{Version: nod.feed.Version(), Peer: nod.self.Peer}
-	dispatcher.Start(nod.dispatcher, "configuration.heard", askTimeout, func(ctx context.Context) (*configuration.Configuration, error) {
-		return peer.Ask[versionRequest, *configuration.Configuration](ctx, nod.peerClient, address, askVersion, req)
-	}, func(cfg *configuration.Configuration, err error) {
+	asked := time.Now()
+	req := versionRequest{Version: nod.feed.Version(), Peer: nod.self.Peer, Confirmation: nod.confirmation()}
+	dispatcher.Start(nod.dispatcher, "configuration.heard", askTimeout, func(ctx context.Context) (versionAnswer, error) {
+		return peer.Ask[versionRequest, versionAnswer](ctx, nod.peerClient, address, askVersion, req)
+	}, func(ans versionAnswer, err error) {
 		nod.followers.RecordAsk(err)
-		if err == nil && cfg != nil {
-			nod.feed.ReceiveVersion(cfg)
+		if err != nil {
+			return
 		}
+		if ans.Configuration != nil {
+			nod.feed.ReceiveVersion(ans.Configuration)
+		}
+		nod.followers.RecordConfirmation(asked, ans.Confirmation)
 	})
 }
 
-// answerVersion returns the version in force if it is newer than the sender's, or nil. If it is older, this node asks
-// the sender for its version.
-func (nod *Node) answerVersion(req versionRequest) *configuration.Configuration {
+// answerVersion returns the version in force if it is newer than the sender's. If it is older, this node asks the sender
+// for its version. Until it has that, the sender's confirmation says nothing about its own version.
+func (nod *Node) answerVersion(req versionRequest) versionAnswer {
 	own := nod.feed.Version()
-	if own > req.Version {
-		return nod.feed.Current()
-	}
 	if own < req.Version {
 		nod.askVersionOf(req.Peer)
+	} else {
+		nod.followers.RecordConfirmation(time.Now(), req.Confirmation)
 	}
-	return nil
+	ans := versionAnswer{Confirmation: nod.confirmation()}
+	if own > req.Version {
+		ans.Configuration = nod.feed.Current()
+	}
+	return ans
+}
+
+// confirmation returns the latest confirmation by the store that this node knows of.
+func (nod *Node) confirmation() confirmation.Confirmation {
+	return nod.followers.Confirmation(nod.feed.ConfirmedAt())
 }
--- a/io/hostnode/node.go
+++ b/io/hostnode/node.go
@@ -80,6 +80,8 @@
 	lowTokens atomic.Bool
 	// versionAppliedAt is when the version in force was applied, in nanoseconds of Unix time.
 	versionAppliedAt atomic.Int64
+	// versionConfirmedAt is when the version in force was last known to be the newest in the store, in the same form.
+	versionConfirmedAt atomic.Int64
 
 	servedLog, refusedLog, gateLog *decisionlog.Log
 
@@ -144,8 +146,9 @@
 		hostsSeenAt: map[netip.AddrPort]time.Time{},
 		ready:       make(chan struct{}),
 	}
-	nod.followers = followers.New(nod.id, set.DataCentre)
 	nod.bounds.Store(&set.Bounds)
+	nod.versionConfirmedAt.Store(nod.started.UnixNano())
+	nod.followers = followers.New(nod.id, set.DataCentre, nod.askInterval)
 	nod.dispatcher = &dispatcher.Dispatcher{Control: nod.control, Tasks: nod.tasks, Log: logger}
 	nod.self = member.Member{
 		ID: nod.id, Peer: set.Peers, Region: set.Region, DataCentre: set.DataCentre, Service: set.Service,
@@ -194,6 +197,9 @@
 	nod.metrics.Gauge("ejections", func() float64 { return float64(nod.picker.Ejections()) })
 	nod.metrics.Gauge("members", func() float64 { return float64(len(nod.view.Load().Members)) })
 	nod.metrics.Gauge("configuration_version", func() float64 { return float64(nod.version()) })
+	nod.metrics.Gauge("configuration_unconfirmed_seconds", func() float64 {
+		return time.Since(time.Unix(0, nod.versionConfirmedAt.Load())).Seconds()
+	})
 }
 
 func (nod *Node) version() uint64 {
--- a/io/hostnode/node_test.go
+++ b/io/hostnode/node_test.go
@@ -117,6 +117,46 @@
 	require.NotEmpty(t, put(7), "another host follows")
 }
 
+// Guards against a withdrawn key that stays in use where the store turns away, or no longer answers, just the hosts of the
+// only data centre that follow it for the others.
+func TestAVersionReachesAllHostsAlthoughTheirFollowersLoseTheStore(t *testing.T) {
+	const size, followersAtOnce = 8, 3
+	// The bound on configurations, and the most by which a disturbance of the store stretches it.
+	const inTime = 2*time.Second + 5*time.Second
+	for name, loseStore := range map[string]func(hos *host){
+		"turned away": func(hos *host) { hos.storeUnreachable.Store(true) },
+		"no answer":   func(hos *host) { hos.storeSilent.Store(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			sto := newStore(testConfiguration(1))
+			hosts := startFleet(t, sto, slices.Repeat([]string{"quotes"}, size)...)
+			inForceAtAll := func(version uint64) bool {
+				return !slices.ContainsFunc(hosts, func(hos *host) bool { return hos.View().Configuration.Version != version })
+			}
+			time.Sleep(time.Second)
+			before := map[*host]int64{}
+			for _, hos := range hosts {
+				before[hos] = hos.follows.Load()
+			}
+			sto.put(testConfiguration(2))
+			require.Eventually(t, func() bool { return inForceAtAll(2) }, time.Second, 5*time.Millisecond)
+			time.Sleep(500 * time.Millisecond)
+			followed := slices.DeleteFunc(slices.Clone(hosts), func(hos *host) bool { return hos.follows.Load() == before[hos] })
+			require.Len(t, followed, followersAtOnce)
+			for _, hos := range followed {
+				loseStore(hos)
+			}
+			withoutKey := testConfiguration(3)
+			withoutKey.Accounts[0].Keys = nil
+			began := time.Now()
+			sto.put(withoutKey)
+			require.Eventually(t, func() bool { return inForceAtAll(3) }, inTime, 5*time.Millisecond)
+			t.Logf("in force at all after %s", time.Since(began))
+		})
+	}
+}
+
 func TestAConfirmedDrainClosesTheGateAtOnce(t *testing.T) {
 	hosts := startFleet(t, newStore(testConfiguration(1)), "quotes", "quotes")
 	require.NoError(t, hosts[0].ReceiveAnnouncement(t.Context(), hosts[0].announcement(localserver.Draining, 2)))
