Have the first heartbeat after a start of the node repeated

Cause: what a node has acknowledged is in its memory only, and the first announcement after a start opened the gate whatever its age.

Change: the first announcement since the start is doubted (new state of the chart localServer) and answered with 503. A sender that still waits repeats it at once; that of a late one does not. No store, no other nodes, no wait.

--- a/core/localserver/server.go
+++ b/core/localserver/server.go
@@ -18,6 +18,7 @@
 // The states of the chart localServer.
 const (
 	Absent   = "absent"
+	Doubted  = "doubted"
 	Serving  = "serving"
 	Draining = "draining"
 )
@@ -32,7 +33,12 @@
 	OnAlive func()
 	// OnChange is called with each new state and the latest announcement.
 	OnChange func(state string, ann announcement.Announcement)
+	// DoubtFirst makes the gate stay closed until a process has announced itself twice, for the first process since the
+	// start of this node. It suits backend servers that repeat an announcement which is not acknowledged.
+	DoubtFirst bool
 
+	// opened is set once the gate has been opened.
+	opened        bool
 	state         string
 	latest        announcement.Announcement
 	lastAnnounced time.Time
@@ -44,9 +50,15 @@
 }
 
 var chart = machine.MustNew(charts.MustLoad("localServer"),
-	[]string{"serving", "draining", "restarted", "silent", "broken"}, nil,
+	[]string{"serving", "draining", "restarted", "silent", "broken"},
+	map[string]func(*Server) bool{
+		"mayBeLate": func(ser *Server) bool { return ser.DoubtFirst && !ser.opened },
+	},
 	map[string]func(*Server){
-		"open":  func(ser *Server) { ser.Open(ser.latest) },
+		"open": func(ser *Server) {
+			ser.opened = true
+			ser.Open(ser.latest)
+		},
 		"drain": func(ser *Server) { ser.Drain() },
 		"crash": func(ser *Server) { ser.Crash() },
 	})
--- a/core/localserver/server_test.go
+++ b/core/localserver/server_test.go
@@ -81,3 +81,36 @@
 		require.Equal(t, []string{"open", "serving"}, log, "a new process under the same ID serves")
 	})
 }
+
+func TestTheFirstAnnouncementSinceTheStartOfTheNodeIsDoubted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log []string
+		ser := newServer(&log)
+		ser.DoubtFirst = true
+		announce := func(id string, sequence uint64, state string) {
+			ser.Announced(announcement.Announcement{ID: id, Sequence: sequence, State: state, Started: time.Unix(1, 0)})
+		}
+		take := func() []string {
+			lines := log
+			log = nil
+			return lines
+		}
+		announce("a", 5, "serving")
+		announce("a", 4, "serving")
+		require.Equal(t, []string{"doubted"}, take(), "a late one repeats nothing")
+		time.Sleep(localserver.SilenceLimit + time.Second)
+		ser.Tick()
+		announce("a", 6, "serving")
+		require.Equal(t, []string{"absent", "doubted"}, take(), "the first one after silence may be late, too")
+		announce("b", 1, "serving")
+		require.Equal(t, []string{"absent", "doubted"}, take(), "the first one of another process")
+		announce("b", 2, "draining")
+		announce("b", 3, "serving")
+		require.Equal(t, []string{"absent", "doubted"}, take())
+		announce("b", 4, "serving")
+		require.Equal(t, []string{"open", "serving"}, take())
+		ser.ConnectionRefused()
+		announce("b", 5, "serving")
+		require.Equal(t, []string{"crash", "absent", "open", "serving"}, take(), "this node would know of its leaving")
+	})
+}
--- a/io/hostnode/fleet_test.go
+++ b/io/hostnode/fleet_test.go
@@ -215,7 +215,15 @@
 	return hosts
 }
 
+// start runs the node and announces its backend server, at first in vain.
 func (hos *host) start(t *testing.T, sto *store) {
+	t.Helper()
+	hos.startNode(t, sto)
+	require.Error(t, hos.ReceiveAnnouncement(t.Context(), hos.announcement(localserver.Serving, 0)))
+	require.NoError(t, hos.ReceiveAnnouncement(t.Context(), hos.announcement(localserver.Serving, 1)))
+}
+
+func (hos *host) startNode(t *testing.T, sto *store) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	hos.stop = cancel
@@ -229,12 +237,12 @@
 	case err := <-hos.end:
 		require.NoError(t, err)
 	}
-	require.NoError(t, hos.ReceiveAnnouncement(ctx, hos.announcement(localserver.Serving, 1)))
 }
 
-func (hos *host) announcement(state string, sequence uint64) announcement.Announcement {
+// announcement returns the announcement with the given number, counted from 0.
+func (hos *host) announcement(state string, number uint64) announcement.Announcement {
 	return announcement.Announcement{
-		ID: hos.settings.Name, Sequence: sequence, Address: hos.settings.BackendServer, Service: hos.settings.Service,
+		ID: hos.settings.Name, Sequence: number + 1, Address: hos.settings.BackendServer, Service: hos.settings.Service,
 		Slots: 4, State: state, Started: time.Unix(1, 0),
 	}
 }
--- a/io/hostnode/node_test.go
+++ b/io/hostnode/node_test.go
@@ -172,22 +172,50 @@
 	require.Equal(t, "h1 ", string(reply.Body), "a heartbeat that arrives out of order does not open the gate")
 }
 
-// Guards against a backend server that is used again after it has left: its node confirmed the drain and was restarted, and
-// a heartbeat from before the drain arrives late, as the first that the new process gets.
+// Guards against a backend server that is used again after it has left: its node confirmed the drain or the deregistration
+// and was restarted, and a heartbeat from before arrives late, as the first that the new process gets.
 func TestALateHeartbeatAfterARestartDoesNotReopenTheGate(t *testing.T) {
+	for name, leave := range map[string]func(hos *host) error{
+		"drains": func(hos *host) error {
+			return hos.ReceiveAnnouncement(context.Background(), hos.announcement(localserver.Draining, 3))
+		},
+		"deregisters": func(hos *host) error { return hos.DeregisterBackendServer(context.Background(), "h0") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			sto := newStore(testConfiguration(1))
+			hosts := startFleet(t, sto, "quotes", "quotes")
+			require.NoError(t, leave(hosts[0]))
+			hosts[0].stop()
+			require.NoError(t, <-hosts[0].end)
+			require.NoError(t, hosts[1].ReceiveAnnouncement(t.Context(), hosts[1].announcement(localserver.Serving, 2)))
+			before := hosts[0].runs.Load()
+			hosts[0].startNode(t, sto)
+			require.Error(t, hosts[0].ReceiveAnnouncement(t.Context(), hosts[0].announcement(localserver.Serving, 2)), "it is not acknowledged")
+			require.Eventually(t, hosts[0].AcceptsCalls, testTime, 10*time.Millisecond)
+			for number := range 20 {
+				hosts[number%2].ask(t.Context(), fmt.Sprint(number), "/quotes/1", bearer)
+			}
+			require.Equal(t, before, hosts[0].runs.Load(), "calls to a backend server that leaves")
+		})
+	}
+}
+
+// Guards against a restarted node that leaves out a backend server which goes on serving.
+func TestARepeatedHeartbeatAfterARestartOpensTheGate(t *testing.T) {
 	sto := newStore(testConfiguration(1))
-	hosts := startFleet(t, sto, "quotes", "quotes")
-	require.NoError(t, hosts[0].ReceiveAnnouncement(t.Context(), hosts[0].announcement(localserver.Draining, 2)))
+	hosts := startFleet(t, sto, "quotes")
 	hosts[0].stop()
 	require.NoError(t, <-hosts[0].end)
-	require.NoError(t, hosts[1].ReceiveAnnouncement(t.Context(), hosts[1].announcement(localserver.Serving, 2)))
-	before := hosts[0].runs.Load()
-	hosts[0].start(t, sto) // sends the first heartbeat, which says that the backend server is ready
+	hosts[0].startNode(t, sto)
 	require.Eventually(t, hosts[0].AcceptsCalls, testTime, 10*time.Millisecond)
-	for number := range 20 {
-		hosts[number%2].ask(t.Context(), fmt.Sprint(number), "/quotes/1", bearer)
-	}
-	require.Equal(t, before, hosts[0].runs.Load(), "calls to a backend server that drains")
+	require.Error(t, hosts[0].ReceiveAnnouncement(t.Context(), hosts[0].announcement(localserver.Serving, 2)))
+	require.Error(t, hosts[0].ReceiveAnnouncement(t.Context(), hosts[0].announcement(localserver.Serving, 1)), "an earlier one confirms nothing")
+	require.NoError(t, hosts[0].ReceiveAnnouncement(t.Context(), hosts[0].announcement(localserver.Serving, 3)))
+	require.Eventually(t, func() bool {
+		ans, _ := hosts[0].ask(t.Context(), "a", "/quotes/1", bearer)
+		return ans.Refusal == nil
+	}, time.Second, 10*time.Millisecond)
 }
 
 func TestALeavingBackendServerStaysOutDespiteLaterAnnouncements(t *testing.T) {
--- a/io/hostnode/server.go
+++ b/io/hostnode/server.go
@@ -68,13 +68,16 @@
 		nod.platform.CloseIdle()
 	}
 	nod.localServer.OnAlive = nod.gate.ConfirmAlive
+	nod.localServer.DoubtFirst = true
 	nod.gate.OnDeath = func(dea death.Death) {
 		nod.log.Warn("backend server died", dea.Fields()...)
 	}
 	nod.localServer.OnChange = func(state string, ann announcement.Announcement) {
 		nod.log.Info("backend server", "state", state, "id", ann.ID, "address", ann.Address, "slots", ann.Slots,
 			"sequence", ann.Sequence, "started", ann.Started)
-		nod.members.LocalServerChanged(change.Change{Event: entryChanges[state], Service: nod.settings.Service, Slots: ann.Slots})
+		if event, changes := entryChanges[state]; changes {
+			nod.members.LocalServerChanged(change.Change{Event: event, Service: nod.settings.Service, Slots: ann.Slots})
+		}
 	}
 	nod.control.AddTicker(nod.localServer.Tick)
 	lastSweep := time.Now()
@@ -87,14 +90,22 @@
 	})
 }
 
+// errDoubted asks a backend server to announce itself again.
+var errDoubted = eris.New("the announcement may be late, it is in force once it is repeated")
+
 // ReceiveAnnouncement applies an announcement of the backend server and returns once it is in force; it fails with
-// the context's error. The backend server gets the error's text in a 503.
+// the context's error, or if the announcement must be repeated. The backend server gets the error's text in a 503. One
+// that still waits for the answer repeats the announcement at once, unlike the sender of a late one.
 func (nod *Node) ReceiveAnnouncement(ctx context.Context, ann announcement.Announcement) error {
-	err := nod.control.Do(ctx, "localServer.announced", func() {
+	doubted, err := dispatcher.OnControl(ctx, nod.dispatcher, "localServer.announced", nil, func() bool {
 		if !nod.localServer.Announced(ann) {
 			nod.log.Info("announcement ignored", "id", ann.ID, "sequence", ann.Sequence, "started", ann.Started)
 		}
+		return nod.localServer.State() == localserver.Doubted
 	})
+	if err == nil && doubted {
+		err = errDoubted
+	}
 	return eris.Wrap(err, "take announcement")
 }
 
