Answer requests that are under way at the end of a stop

Callers could see: a request that a stop took early and that still waited for a slot at its end had its connection closed without an answer, though it had run nowhere.

Cause: at the end of the stop the listeners close all connections; nothing ended the requests before.

TestARequestThatWaitsAtTheEndOfAStopIsAnswered failed before (EOF, 2 of 2 runs) and passes.

--- a/io/hostnode/calls.go
+++ b/io/hostnode/calls.go
@@ -105,7 +105,11 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, cal.Deadline.Add(answerGrace))
 	defer cancel()
+	defer nod.onRequestsEnd(cancel)()
 	ans, reply, attempts := nod.runAttempts(ctx, cal, alw, msg)
+	if ref := ans.Refusal; ref != nil && ref.Outcome == outcome.NotRun && nod.requestsEnded() {
+		ref.Reason, ref.RetryAfter = reason.Draining, elsewhereAfter
+	}
 	nod.recordEnd(cal, req, ans, attempts, started)
 	return ans, reply
 }
--- a/io/hostnode/fleet_test.go
+++ b/io/hostnode/fleet_test.go
@@ -1,6 +1,7 @@
 package hostnode_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -85,8 +86,10 @@
 	// run, if set, executes the calls; without it each call is answered at once.
 	run  atomic.Pointer[func(ctx context.Context, cal call.Call) (answer.Answer, message.Message)]
 	runs atomic.Int64
-	stop context.CancelFunc
-	end  chan error
+	// timeout is that of the requests; 0 means two seconds.
+	timeout time.Duration
+	stop    context.CancelFunc
+	end     chan error
 }
 
 func (hos *host) platform(sto *store) hostnode.Platform {
@@ -249,7 +252,7 @@
 
 func (hos *host) ask(ctx context.Context, id, path, credential string) (answer.Answer, message.Message) {
 	return hos.Serve(ctx, request.Request{
-		Method: http.MethodGet, Host: "a.example", Path: path, ID: id, Credential: credential, Timeout: 2 * time.Second, CallerService: hos.settings.Service,
+		Method: http.MethodGet, Host: "a.example", Path: path, ID: id, Credential: credential, Timeout: cmp.Or(hos.timeout, 2*time.Second), CallerService: hos.settings.Service,
 	}, message.Message{Method: http.MethodGet, Target: path, Header: http.Header{}})
 }
 
--- a/io/hostnode/node.go
+++ b/io/hostnode/node.go
@@ -1,6 +1,7 @@
 package hostnode
 
 import (
+	"context"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -103,6 +104,11 @@
 	peerServer *peer.Server
 	listeners  listeners
 	ready      chan struct{}
+	// endRequests is called shortly before the listeners must be closed, so that the requests that are then still under way
+	// are answered. onRequestsEnd registers a function that is called then, unless the returned one is called first.
+	endRequests   context.CancelFunc
+	onRequestsEnd func(run func()) (remove func() bool)
+	requestsEnded func() bool
 	// closeDeadline is when the listeners must be closed. The drain sets it before its end interrupts the other actors
 	// of Run's group. If another actor ends first, it is zero, and the listeners are closed without a wait.
 	closeDeadline time.Time
@@ -146,6 +152,10 @@
 		hostsSeenAt: map[netip.AddrPort]time.Time{},
 		ready:       make(chan struct{}),
 	}
+	requestsEnd, endRequests := context.WithCancel(context.Background())
+	nod.endRequests = endRequests
+	nod.onRequestsEnd = func(run func()) func() bool { return context.AfterFunc(requestsEnd, run) }
+	nod.requestsEnded = func() bool { return requestsEnd.Err() != nil }
 	nod.bounds.Store(&set.Bounds)
 	nod.versionConfirmedAt.Store(nod.started.UnixNano())
 	nod.followers = followers.New(nod.id, set.DataCentre, nod.askInterval)
--- a/io/hostnode/node_test.go
+++ b/io/hostnode/node_test.go
@@ -323,6 +323,44 @@
 	require.GreaterOrEqual(t, served, int(2*time.Second/interval), "those that come early in the stop are served")
 }
 
+// Guards against requests that a stop takes early, that wait for a slot until its end and are then cut without an answer.
+func TestARequestThatWaitsAtTheEndOfAStopIsAnswered(t *testing.T) {
+	cfg := testConfiguration(1)
+	for number := range cfg.Routes {
+		cfg.Routes[number].Timeout, cfg.Routes[number].TargetLatency = 20*time.Second, 0
+	}
+	open := cfg.Routes[1]
+	open.Name, open.PathPrefix, open.Open = "open", "/open/", true
+	cfg.Routes = append(cfg.Routes, open)
+	hosts := startFleet(t, newStore(cfg), "quotes", "confirms")
+	block := make(chan struct{})
+	defer close(block)
+	for _, hos := range hosts {
+		hos.timeout = 20 * time.Second
+		hos.setRun(func(ctx context.Context, cal call.Call) (answer.Answer, message.Message) {
+			select {
+			case <-block:
+			case <-ctx.Done():
+			}
+			return answer.Answer{CallID: cal.ID, Refusal: refusal.Unknown(reason.Cancelled, "test")}, message.Message{}
+		})
+	}
+	const requests = 12
+	hosts[0].stop()
+	errs := make(chan error, requests)
+	for number := range requests {
+		go func() {
+			_, err := hosts[0].callOverHTTP(context.Background(), fmt.Sprint("/open/", number))
+			errs <- err
+		}()
+	}
+	for range requests {
+		require.NoError(t, <-errs)
+	}
+	require.Less(t, hosts[1].runs.Load(), int64(requests), "some waited for a slot")
+	require.NoError(t, <-hosts[0].end)
+}
+
 // Guards against calls far below their account's rate that are refused as beyond it in the first seconds of a node, and
 // counts those that are refused for another reason.
 func TestARestartedHostRefusesNoCallAsBeyondTheRate(t *testing.T) {
