Order all that a backend server says of itself

A late deregistration took out the next process of the same ID.

Cause: the number 0 stood for no number, and the start time in a deregistration was not read.

Change: announcements say whether they are numbered; a deregistration of an earlier process of the ID is ignored.

--- a/core/announcement/announcement.go
+++ b/core/announcement/announcement.go
@@ -10,8 +10,10 @@
 type Announcement struct {
 	// ID identifies the backend server's process; it may be empty where addresses are not reused.
 	ID string `json:"id,omitempty"`
-	// Sequence rises with each announcement of one process, so that late ones can be ignored; 0 if it is not used.
+	// Sequence rises with each announcement of one process, so that late ones can be ignored. A 0 stands for no number
+	// unless Numbered is set.
 	Sequence uint64 `json:"sequence,omitempty"`
+	Numbered bool   `json:"numbered,omitempty"`
 	// Address is where the backend server accepts calls.
 	Address netip.AddrPort `json:"address"`
 	Service string         `json:"service"`
--- a/core/localserver/server.go
+++ b/core/localserver/server.go
@@ -77,7 +77,7 @@
 func (ser *Server) Announced(ann announcement.Announcement) bool {
 	another := ann.Started.After(ser.latest.Started) || ann.ID != ser.latest.ID
 	if ann.Started.Before(ser.latest.Started) || ser.isFromFormerProcess(ann) ||
-		!another && ann.Sequence != 0 && ann.Sequence <= ser.latest.Sequence {
+		!another && (ann.Numbered || ann.Sequence != 0) && ann.Sequence <= ser.latest.Sequence {
 		return false
 	}
 	if ann.ID != ser.latest.ID && ser.latest.ID != "" {
@@ -113,15 +113,22 @@
 	return slices.Contains(ser.formerIDs, ann.ID) && !ann.Started.After(ser.latest.Started)
 }
 
-// ProcessLeaving records that the process with the ID takes no more work, whatever it announces later, and reports
-// whether it is the process of the latest announcement. It may be a process that has not announced itself yet, as after
-// a restart of this node.
-func (ser *Server) ProcessLeaving(id string) bool {
+// ProcessLeaving records that the process with the ID and start time takes no more work, whatever it announces later, and
+// reports whether it is the process of the latest announcement. The start time is zero if it is not known. It may be a
+// process that has not announced itself yet, as after a restart of this node, or one that a later process of the same ID
+// has replaced.
+func (ser *Server) ProcessLeaving(id string, started time.Time) bool {
+	if id == ser.latest.ID && !started.IsZero() && started.Before(ser.latest.Started) {
+		return false
+	}
 	if len(ser.leftAt) >= formerLimit {
 		clear(ser.leftAt)
 	}
 	if id != ser.latest.ID {
-		ser.leftAt[id] = time.Now()
+		if started.IsZero() {
+			started = time.Now()
+		}
+		ser.leftAt[id] = started
 		return false
 	}
 	ser.leftAt[id] = ser.latest.Started
--- a/core/localserver/server_test.go
+++ b/core/localserver/server_test.go
@@ -73,7 +73,7 @@
 		ser := newServer(&log)
 		started := time.Now()
 		time.Sleep(time.Second)
-		require.False(t, ser.ProcessLeaving("a"), "this node has just started")
+		require.False(t, ser.ProcessLeaving("a", time.Time{}), "this node has just started")
 		ser.Announced(announcement.Announcement{ID: "a", Sequence: 18, State: "serving", Started: started})
 		require.Empty(t, log, "a late announcement does not open the gate")
 		time.Sleep(time.Second)
@@ -82,6 +82,28 @@
 	})
 }
 
+// Guards against a backend server whose announcements are numbered from 0: its first one, arriving late, brought it into use
+// again.
+func TestAnnouncementsAreOrderedFromTheNumberZeroOn(t *testing.T) {
+	var log []string
+	ser := newServer(&log)
+	ser.Announced(announcement.Announcement{ID: "a", Sequence: 1, Numbered: true, State: "serving"})
+	ser.Announced(announcement.Announcement{ID: "a", Sequence: 2, Numbered: true, State: "draining"})
+	require.False(t, ser.Announced(announcement.Announcement{ID: "a", Sequence: 0, Numbered: true, State: "serving"}))
+	require.Equal(t, []string{"open", "serving", "drain", "draining"}, log)
+}
+
+// Guards against a process that is taken out of use by the late deregistration of an earlier one of the same ID.
+func TestALateDeregistrationLeavesTheNextProcessOfItsIDInUse(t *testing.T) {
+	var log []string
+	ser := newServer(&log)
+	ser.Announced(announcement.Announcement{ID: "a", Sequence: 1, State: "serving", Started: time.Unix(2, 0)})
+	require.False(t, ser.ProcessLeaving("a", time.Unix(1, 0)))
+	require.Equal(t, []string{"open", "serving"}, log)
+	require.True(t, ser.ProcessLeaving("a", time.Unix(2, 0)))
+	require.Equal(t, []string{"open", "serving", "drain", "draining"}, log)
+}
+
 func TestTheFirstAnnouncementSinceTheStartOfTheNodeIsDoubted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var log []string
--- a/io/hostnode/node_test.go
+++ b/io/hostnode/node_test.go
@@ -179,7 +179,7 @@
 		"drains": func(hos *host) error {
 			return hos.ReceiveAnnouncement(context.Background(), hos.announcement(localserver.Draining, 3))
 		},
-		"deregisters": func(hos *host) error { return hos.DeregisterBackendServer(context.Background(), "h0") },
+		"deregisters": func(hos *host) error { return hos.DeregisterBackendServer(context.Background(), "h0", time.Time{}) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -220,7 +220,7 @@
 
 func TestALeavingBackendServerStaysOutDespiteLaterAnnouncements(t *testing.T) {
 	hosts := startFleet(t, newStore(testConfiguration(1)), "quotes", "quotes")
-	require.NoError(t, hosts[0].DeregisterBackendServer(t.Context(), "h0"))
+	require.NoError(t, hosts[0].DeregisterBackendServer(t.Context(), "h0", time.Time{}))
 	require.NoError(t, hosts[0].ReceiveAnnouncement(t.Context(), hosts[0].announcement(localserver.Serving, 9)))
 	_, reply := hosts[0].ask(t.Context(), "a", "/quotes/1", bearer)
 	require.Equal(t, "h1 ", string(reply.Body))
--- a/io/hostnode/server.go
+++ b/io/hostnode/server.go
@@ -109,11 +109,12 @@
 	return eris.Wrap(err, "take announcement")
 }
 
-// DeregisterBackendServer handles the deregistration of the backend server's process with the ID, and returns once its
-// gate is closed; it fails with the context's error. The backend server gets the error's text in a 503.
-func (nod *Node) DeregisterBackendServer(ctx context.Context, id string) error {
+// DeregisterBackendServer handles the deregistration of the backend server's process with the ID and start time, which may
+// be zero, and returns once its gate is closed; it fails with the context's error. The backend server gets the error's text
+// in a 503.
+func (nod *Node) DeregisterBackendServer(ctx context.Context, id string, started time.Time) error {
 	err := nod.control.Do(ctx, "localServer.left", func() {
-		nod.log.Info("backend server leaves", "id", id, "present", nod.localServer.ProcessLeaving(id))
+		nod.log.Info("backend server leaves", "id", id, "started", started, "present", nod.localServer.ProcessLeaving(id, started))
 	})
 	return eris.Wrap(err, "take the backend server off")
 }
