Reduce the tokens of an account with its burst

Cause: each holder cut its tokens to the whole new burst, so that four holders kept four bursts.

Change: each host reduces its tokens by the factor of the burst.

--- a/core/tokenshare/tokenshare.go
+++ b/core/tokenshare/tokenshare.go
@@ -108,8 +108,11 @@
 			buc = &bucket{refilledAt: now, demandAt: now}
 		}
 		buc.refill(now)
+		// All hosts together hold the former burst at most, and so the new one, if each reduces its tokens by the same factor.
+		if acc.Burst < buc.burst {
+			buc.tokens *= acc.Burst / buc.burst
+		}
 		buc.rate, buc.burst = acc.Rate, acc.Burst
-		buc.tokens = min(buc.tokens, buc.burst)
 		buc.chooseHolders(acc.Name, sha.hosts, sha.self)
 		kept[acc.Name] = buc
 	}
--- a/core/tokenshare/tokenshare_test.go
+++ b/core/tokenshare/tokenshare_test.go
@@ -292,3 +292,24 @@
 	}
 	require.Nil(t, sha.Take(t.Context(), account), "an account without a rate")
 }
+
+// Guards against tokens that were saved under a higher burst and are spent under a lower one, at each holder.
+func TestALoweredBurstBindsTheTokensSavedBefore(t *testing.T) {
+	const rate, burst = 20, 100
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(4, 400, 400)
+		time.Sleep(10 * time.Second)
+		for _, sha := range fleet {
+			sha.Configure([]clientaccount.ClientAccount{{Name: account, Rate: rate, Burst: burst}})
+		}
+		began, admitted := time.Now(), 0
+		for time.Since(began) < 5*time.Second {
+			for _, sha := range fleet {
+				if sha.Take(t.Context(), account) == nil {
+					admitted++
+				}
+			}
+		}
+		require.LessOrEqual(t, float64(admitted), rate*time.Since(began).Seconds()+burst)
+	})
+}
