Let hosts that start without the store find each other

Cause: a failed first write of a member's row was tried again only after 45 to 75 s, the rows were read once whatever became of that write, and a node that knew no other took itself for the only holder of each rate.

Change: the first write is tried again after 0.5 s, doubled up to 4 s; the rows are read again once the own row is there; until then, or until another host is known, no tokens accrue and calls of limited accounts are refused as not run with shareUnavailable, for 30 s at most.

--- a/core/membership/list.go
+++ b/core/membership/list.go
@@ -39,8 +39,8 @@
 	SendIndirectProbe func(number uint64, through, target netip.AddrPort, pro probe.Probe)
 	// SendExchange sends an exchange request; its result is reported by ExchangeAnswered or ExchangeFailed.
 	SendExchange func(peer netip.AddrPort, exc exchange.Exchange)
-	// WriteRow and DeleteRow change a member's row in the table whatever its revision. RowFailed reports that WriteRow
-	// failed.
+	// WriteRow and DeleteRow change a member's row in the table whatever its revision. RowWritten reports that WriteRow
+	// succeeded, RowFailed that it failed.
 	WriteRow  func(row memberrow.Row)
 	DeleteRow func(id string)
 	// Publish is called after a change with all live members in the order of their IDs; the receiver owns the slice.
@@ -89,7 +89,10 @@
 	nextGossip        time.Time
 	nextCrossExchange time.Time
 	nextRow           time.Time
-	nextExpiry        time.Time
+	// rowWritten is set once this node's row was written; before, rowRetry is the time until the write is tried again.
+	rowWritten bool
+	rowRetry   time.Duration
+	nextExpiry time.Time
 }
 
 var backendServer = machine.MustNew(charts.MustLoad("backendServer"),
--- a/core/membership/rows.go
+++ b/core/membership/rows.go
@@ -13,6 +13,10 @@
 	// rowRetryTime is the average time from a failed write of this node's row to the next one. It is long enough for
 	// the retries of the whole fleet to stay within the request rate that the platform accepts.
 	rowRetryTime = 60 * time.Second
+	// While this node's row was never written, firstRowRetryTime is the average time from the first failed write to the next
+	// one. It doubles with each failure up to longestFirstRowRetryTime. Other nodes that start find this one by its row only.
+	firstRowRetryTime        = 500 * time.Millisecond
+	longestFirstRowRetryTime = 4 * time.Second
 	// rowLifetime is the age of a row up to which its member is taken to be alive.
 	rowLifetime = 3 * rowInterval
 	// rowRetention is the age from which a row is deleted by any node of its data centre that reads it.
@@ -62,9 +66,17 @@
 // RowFailed reports that the last write of this node's row failed or has an unknown result.
 func (lis *List) RowFailed() {
 	now := lis.begin()
-	lis.nextRow = now.Add(lis.jitter(rowRetryTime))
+	retry := rowRetryTime
+	if !lis.rowWritten {
+		lis.rowRetry = min(max(2*lis.rowRetry, firstRowRetryTime), longestFirstRowRetryTime)
+		retry = lis.rowRetry
+	}
+	lis.nextRow = now.Add(lis.jitter(retry))
 }
 
+// RowWritten reports that a write of this node's row has succeeded.
+func (lis *List) RowWritten() { lis.rowWritten = true }
+
 func (lis *List) refreshRow(now time.Time) {
 	if now.Before(lis.nextRow) {
 		return
--- a/io/hostnode/fleet_test.go
+++ b/io/hostnode/fleet_test.go
@@ -49,8 +49,10 @@
 	mut     sync.Mutex
 	current configuration.Configuration
 	changed chan struct{}
-	rows    map[string]memberrow.Row
-	crashes map[uint64]record.Record
+	// rowsDown makes the store refuse all requests for the members' rows.
+	rowsDown atomic.Bool
+	rows     map[string]memberrow.Row
+	crashes  map[uint64]record.Record
 }
 
 func newStore(cfg configuration.Configuration) *store {
@@ -125,6 +127,9 @@
 		ReadMembers: func(context.Context, func(string, error)) ([]memberrow.Row, error) {
 			sto.mut.Lock()
 			defer sto.mut.Unlock()
+			if sto.rowsDown.Load() {
+				return nil, io.ErrUnexpectedEOF
+			}
 			var rows []memberrow.Row
 			for _, row := range sto.rows {
 				rows = append(rows, row)
@@ -134,6 +139,9 @@
 		WriteMember: func(_ context.Context, row memberrow.Row) error {
 			sto.mut.Lock()
 			defer sto.mut.Unlock()
+			if sto.rowsDown.Load() {
+				return io.ErrUnexpectedEOF
+			}
 			sto.rows[row.Member.ID] = row
 			return nil
 		},
@@ -199,6 +207,14 @@
 
 // startFleet runs one node for each service given and waits until all accept calls and know each other.
 func startFleet(t *testing.T, sto *store, services ...string) []*host {
+	t.Helper()
+	hosts := startHosts(t, sto, services...)
+	requireFleet(t, hosts)
+	return hosts
+}
+
+// startHosts runs one node for each service given.
+func startHosts(t *testing.T, sto *store, services ...string) []*host {
 	t.Helper()
 	var hosts []*host
 	for index, service := range services {
@@ -206,6 +222,12 @@
 		hos.start(t, sto)
 		hosts = append(hosts, hos)
 	}
+	return hosts
+}
+
+// requireFleet waits until all hosts accept calls and know each other.
+func requireFleet(t *testing.T, hosts []*host) {
+	t.Helper()
 	require.Eventually(t, func() bool {
 		for _, hos := range hosts {
 			vie := hos.View()
@@ -215,7 +237,6 @@
 		}
 		return true
 	}, testTime, 20*time.Millisecond)
-	return hosts
 }
 
 // start runs the node and announces its backend server, at first in vain.
--- a/io/hostnode/members.go
+++ b/io/hostnode/members.go
@@ -20,6 +20,9 @@
 	// membership list. It is longer than network partitions usually last, because a host behind a partition may keep
 	// serving.
 	hostRetention = 30 * time.Second
+	// aloneTimeout is how long a node that cannot read the members' rows takes it that there are other hosts, which may hold
+	// the rates of accounts.
+	aloneTimeout = 30 * time.Second
 	// syncTimeout is how long a node waits for the membership of the fleet before it accepts calls without it.
 	syncTimeout = 3 * time.Second
 )
@@ -30,7 +33,7 @@
 func (nod *Node) setUpMembers() {
 	nod.members = membership.New(nod.self, nil)
 	nod.members.Publish = nod.publishMembers
-	link := &memberlink.Link{
+	nod.memberLink = &memberlink.Link{
 		List: nod.members, Dispatcher: nod.dispatcher, Client: nod.peerClient, Server: nod.peerServer,
 		ReadRows: func(ctx context.Context) ([]memberrow.Row, error) {
 			return nod.platform.ReadMembers(ctx, func(key string, err error) {
@@ -40,7 +43,7 @@
 		WriteRow: nod.platform.WriteMember, DeleteRow: nod.platform.DeleteMember,
 		AskTimeout: askTimeout, StoreTimeout: storeTimeout,
 	}
-	link.Register()
+	nod.memberLink.Register()
 	nod.crashLink = &crashlink.Link{
 		Dispatcher: nod.dispatcher, Client: nod.peerClient, Server: nod.peerServer, Gate: nod.gate, AskTimeout: askTimeout,
 		Peers: func() []member.Member { return nod.view.Load().Peers(nod.settings.Service) },
@@ -114,7 +117,8 @@
 		nod.synced.Store(true)
 		nod.log.Info("members known", "members", len(nod.view.Load().Members), "after", now.Sub(nod.started))
 	}
-	for _, mem := range nod.view.Load().Members {
+	members := nod.view.Load().Members
+	for _, mem := range members {
 		nod.hostsSeenAt[mem.Peer] = now
 	}
 	nod.hostsSeenAt[nod.self.Peer] = now
@@ -123,6 +127,10 @@
 			delete(nod.hostsSeenAt, address)
 		}
 	}
+	// Until then, this node would take itself for the only holder of each account's rate.
+	if !nod.memberLink.Joined() && len(members) < 2 && now.Sub(nod.started) < aloneTimeout {
+		return
+	}
 	nod.shares.SetHosts(slices.SortedFunc(maps.Keys(nod.hostsSeenAt), netip.AddrPort.Compare))
 	nod.retryBudget.SetHosts(len(nod.hostsSeenAt))
 }
--- a/io/hostnode/node.go
+++ b/io/hostnode/node.go
@@ -33,6 +33,7 @@
 	"flamingoreach/io/decisionlog"
 	"flamingoreach/io/dispatcher"
 	"flamingoreach/io/hostsettings"
+	"flamingoreach/io/memberlink"
 	"flamingoreach/io/metricset"
 	"flamingoreach/io/peer"
 	"flamingoreach/io/room"
@@ -117,6 +118,7 @@
 	self        member.Member
 	localServer *localserver.Server
 	members     *membership.List
+	memberLink  *memberlink.Link
 	feed        *configurationfeed.Feed
 	followers   *followers.Followers
 	crashLink   *crashlink.Link
--- a/io/hostnode/node_test.go
+++ b/io/hostnode/node_test.go
@@ -361,6 +361,33 @@
 	require.NoError(t, <-hosts[0].end)
 }
 
+// Guards against hosts that start while the store is away, never find each other, and each take themselves for the only
+// holder of an account's rate.
+func TestHostsThatStartWithoutTheStoreFindEachOtherOnceItIsBack(t *testing.T) {
+	const outage, inTime = 4 * time.Second, 8 * time.Second
+	sto := newStore(testConfiguration(1))
+	sto.rowsDown.Store(true)
+	hosts := startHosts(t, sto, slices.Repeat([]string{"quotes"}, 4)...)
+	time.Sleep(outage)
+	require.True(t, hosts[0].AcceptsCalls())
+	ans, _ := hosts[0].ask(t.Context(), "early", "/quotes/1", bearer)
+	require.NotNil(t, ans.Refusal)
+	require.Equal(t, reason.ShareUnavailable, ans.Refusal.Reason, "a host that cannot know whether it is alone admits no call of a limited account")
+	require.Equal(t, outcome.NotRun, ans.Refusal.Outcome)
+	sto.rowsDown.Store(false)
+	number := uint64(1)
+	require.Eventually(t, func() bool {
+		number++
+		known := true
+		for _, hos := range hosts {
+			require.NoError(t, hos.ReceiveAnnouncement(t.Context(), hos.announcement(localserver.Serving, number)))
+			ans, _ := hos.ask(t.Context(), "late", "/quotes/1", bearer)
+			known = known && ans.Refusal == nil && len(hos.View().Serving("quotes")) == len(hosts)
+		}
+		return known
+	}, inTime, 200*time.Millisecond)
+}
+
 // Guards against calls far below their account's rate that are refused as beyond it in the first seconds of a node, and
 // counts those that are refused for another reason.
 func TestARestartedHostRefusesNoCallAsBeyondTheRate(t *testing.T) {
--- a/io/memberlink/memberlink.go
+++ b/io/memberlink/memberlink.go
@@ -42,13 +42,20 @@
 	// AskTimeout bounds a request to a node, StoreTimeout a request to the table.
 	AskTimeout, StoreTimeout time.Duration
 
-	// ownRowWritten is set once the first write of this node's own row has ended, even if it failed.
-	ownRowWritten bool
+	// ownRowTried is set once the first write of this node's own row has ended, even if it failed. ownRowWritten is set once
+	// one has succeeded.
+	ownRowTried, ownRowWritten bool
 	// lastRead is when the last read of the rows began, readFailed whether it failed.
 	lastRead   time.Time
 	readFailed bool
+	// joined is set once a read has succeeded that began after the own row was written.
+	joined bool
 }
 
+// Joined reports whether each other node either has been found by its row or finds this node's row when it starts. It is
+// called on the control thread.
+func (lin *Link) Joined() bool { return lin.joined }
+
 // relayedProbe is a probe that another node relays to its target.
 type relayedProbe struct {
 	Target netip.AddrPort `json:"target"`
@@ -73,10 +80,13 @@
 	}
 	lis.WriteRow = func(row memberrow.Row) {
 		lin.write("membership.rowWritten", func(ctx context.Context) error { return lin.WriteRow(ctx, row) }, func(err error) {
-			lin.ownRowWritten = true
+			lin.ownRowTried = true
 			if err != nil {
 				lis.RowFailed()
+				return
 			}
+			lin.ownRowWritten = true
+			lis.RowWritten()
 		})
 	}
 	lis.DeleteRow = func(id string) {
@@ -124,19 +134,21 @@
 	})
 }
 
-// tick reads the rows once after the start, and again at the intervals that RereadInterval returns. The first read
-// follows the write of this node's own row: if two nodes start at the same time, at least one of them then finds the
-// other's row.
+// tick reads the rows after the start, and again at the intervals that RereadInterval returns. The first read follows the
+// first try to write this node's own row, and another one its first success: if two nodes start at the same time, at least
+// one of them then finds the other's row.
 func (lin *Link) tick() {
 	if !lin.rowsDue() {
 		return
 	}
 	lin.lastRead, lin.readFailed = time.Now(), false
+	joins := lin.ownRowWritten
 	dispatcher.Start(lin.Dispatcher, "membership.joined", lin.StoreTimeout, lin.ReadRows, func(rows []memberrow.Row, err error) {
 		if err != nil {
 			lin.readFailed = true
 			return
 		}
+		lin.joined = lin.joined || joins
 		if lin.OnRowsRead != nil {
 			lin.OnRowsRead(rows)
 		}
@@ -148,8 +160,8 @@
 	since := time.Since(lin.lastRead)
 	switch {
 	case lin.lastRead.IsZero():
-		return lin.ownRowWritten
-	case lin.readFailed:
+		return lin.ownRowTried
+	case lin.readFailed, !lin.joined && lin.ownRowWritten:
 		return since >= rowsRetryInterval
 	case lin.RereadInterval == nil:
 		return false
--- a/io/memberlink/memberlink_test.go
+++ b/io/memberlink/memberlink_test.go
@@ -24,10 +24,18 @@
 // Guards against two nodes that start at the same time and do not find each other, because both read the rows before
 // either has written its own. The read must wait for the end of the write, even of one that fails.
 func TestTheRowsAreReadAfterTheOwnRowWasWritten(t *testing.T) {
-	for name, outcome := range map[string]error{"written": nil, "failed": io.ErrUnexpectedEOF} {
+	for name, test := range map[string]struct {
+		failures int
+		steps    []string
+	}{
+		"written": {0, []string{"write ended", "read"}},
+		// A node that starts while this node's row is missing, and whose own row this read missed, would not be found.
+		"failed once": {1, []string{"write failed", "read", "write ended", "read"}},
+	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				var steps []string
+				failures := 0
 				dis := &dispatcher.Dispatcher{Control: control.New(16), Tasks: tasks.New(16), Log: log.New(io.Discard)}
 				link := &memberlink.Link{
 					List:       membership.New(member.Member{ID: "a", Peer: netip.MustParseAddrPort("10.0.0.1:1")}, nil),
@@ -35,8 +43,12 @@
 					Client:     peer.NewPooledClient(nil), Server: peer.NewServer(),
 					WriteRow: func(context.Context, memberrow.Row) error {
 						time.Sleep(time.Second)
+						if failures++; failures <= test.failures {
+							steps = append(steps, "write failed")
+							return io.ErrUnexpectedEOF
+						}
 						steps = append(steps, "write ended")
-						return outcome
+						return nil
 					},
 					ReadRows: func(context.Context) ([]memberrow.Row, error) {
 						steps = append(steps, "read")
@@ -50,7 +62,8 @@
 				go func() { _ = dis.Tasks.Run(ctx) }()
 				_ = dis.Control.Run(ctx)
 				synctest.Wait()
-				require.Equal(t, []string{"write ended", "read"}, steps)
+				require.Equal(t, test.steps, steps)
+				require.True(t, link.Joined())
 			})
 		})
 	}
