--- a/core/followers/followers.go
+++ b/core/followers/followers.go
@@ -83,7 +83,8 @@
 	return confirmation.Confirmation{Follower: fol.follower, Age: time.Since(fol.heard)}
 }
 
-// IncludeSelf reports whether this node follows the store, given the live members. It answers the load of a fleet whose
+// IncludeSelf reports whether this node follows the store, given the live members, and records whether it stands in for
+// others by that. It answers the load of a fleet whose
 // calls to the store grow with its hosts. IDs are random, so that their order spreads the work.
 func (fol *Followers) IncludeSelf(members []member.Member) bool {
 	if fol.failed >= isolatedAfter {
--- a/io/hostnode/members.go
+++ b/io/hostnode/members.go
@@ -107,7 +107,7 @@
 }
 
 // tickMembers updates the set of hosts among which the rates and the retry budget are divided. It does nothing until
-// the membership list is synced or syncTimeout has passed.
+// the membership list is synced or syncTimeout has passed, and divides nothing until other hosts can be known.
 func (nod *Node) tickMembers() {
 	now := time.Now()
 	if !nod.synced.Load() {
@@ -127,7 +127,7 @@
 			delete(nod.hostsSeenAt, address)
 		}
 	}
-	// Until then, this node would take itself for the only holder of each account's rate.
+	// A node that has not been able to look for other hosts would take itself for the only holder of each account's rate.
 	if !nod.memberLink.Joined() && len(members) < 2 && now.Sub(nod.started) < aloneTimeout {
 		return
 	}
