Bound the long bodies of callers' requests together

Cause: each body was read as soon as it came, without a bound on all of them.

Change: bodies over 64 kB share a sixth of the memory, from before they are read to the end of the request.

--- a/cmd/flamingoreach-host/command/command.go
+++ b/cmd/flamingoreach-host/command/command.go
@@ -35,6 +35,9 @@
 	bodyBytes = 64 << 20
 	// roomDivisor divides the memory of the process to get the bound of all long answers of the backend server together.
 	roomDivisor = 8
+	// bodiesDivisor divides it to get the bound of the long bodies of all callers' requests together. Each is held once more
+	// while it is sent to another node.
+	bodiesDivisor = 6
 	// bodyTime bounds the time for reading the body of a request that states no timeout.
 	bodyTime = 30 * time.Second
 	// backendDialTimeout is ample for connecting to a live process on the same host.
@@ -118,6 +121,7 @@
 	}
 	pool := http1.NewPool(backendDialTimeout)
 	pool.Room = room.New(set.MemoryBytes / roomDivisor)
+	bodies := room.New(set.MemoryBytes / bodiesDivisor)
 	backend := &platform.BackendServer{Pool: pool, BodyBytes: bodyBytes}
 	nod := hostnode.New(set, hostnode.Platform{
 		ReadConfiguration: store.ReadConfiguration, FollowConfiguration: store.FollowConfiguration,
@@ -126,6 +130,7 @@
 		Execute: backend.Execute, Sweep: pool.Sweep, CloseIdle: pool.CloseIdle,
 	}, logger)
 	backend.OnRefused = nod.HandleRefusedConnection
+	nod.Metrics().Gauge("request_body_bytes", func() float64 { return float64(bodies.Used()) })
 	nod.Metrics().Gauge("log_lines_dropped", func() float64 { return float64(lines.Dropped()) })
 	nod.Reload(set)
 	watching, stopWatching := context.WithCancel(ctx)
@@ -133,7 +138,7 @@
 	go func() { watched <- watch.File(watching, file, reloads, func() { reload(nod, file, logger) }) }()
 	err := nod.Run(ctx, hostnode.Handlers{
 		Callers: &platform.FrontEnd{
-			CallerService: set.Service, BodyBytes: bodyBytes, BodyTime: bodyTime, Serve: nod.Serve, OnRefusal: nod.RecordRefusal,
+			CallerService: set.Service, BodyBytes: bodyBytes, BodyTime: bodyTime, Bodies: bodies, Serve: nod.Serve, OnRefusal: nod.RecordRefusal,
 		},
 		Announcements: &platform.AnnouncementHandler{
 			Service: set.Service, ReceiveAnnouncement: nod.ReceiveAnnouncement, Deregister: nod.DeregisterBackendServer, OnInvalidHeartbeat: nod.LogInvalidHeartbeat,
--- a/core/reason/reason.go
+++ b/core/reason/reason.go
@@ -18,7 +18,9 @@
 	ShareUnavailable Reason = "shareUnavailable"
 	NoConfiguration  Reason = "noConfiguration"
 	// CutOff means that the node, or its data centre, has been without contact for too long to serve calls with a key.
-	CutOff        Reason = "cutOff"
+	CutOff Reason = "cutOff"
+	// BodiesFull means that the bodies of other requests take all the memory that a host has for them.
+	BodiesFull    Reason = "bodiesFull"
 	BodyTooLarge  Reason = "bodyTooLarge"
 	BodyTruncated Reason = "bodyTruncated"
 	// HeaderInvalid means that a header cannot be parsed, or that its idempotency key was used for a call with other
--- a/io/room/room_test.go
+++ b/io/room/room_test.go
@@ -1,7 +1,10 @@
 package room_test
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -22,3 +25,21 @@
 	require.True(t, roo.Take(1<<60))
 	roo.GiveBack(1 << 60)
 }
+
+func TestAWaitForRoomEndsWhenThereIsSomeOrTheContextEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		roo := room.New(10)
+		require.True(t, roo.Take(8))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := roo.Await(ctx, 4)
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+		require.Equal(t, int64(8), roo.Used())
+		time.AfterFunc(time.Second, func() { roo.GiveBack(8) })
+		taken, err := roo.Await(t.Context(), 40)
+		require.NoError(t, err)
+		require.Equal(t, int64(10), taken, "a body longer than the room takes all of it")
+		roo.GiveBack(taken)
+		require.Zero(t, roo.Used())
+	})
+}
