Bound the long calls of other nodes together

A host could still be taken over its memory by the long calls that several other nodes send it, as each was read as soon as it came.

Change: calls over 64 kB share an eighth of the memory, wait for it 0.5 s at most and then fail as resource_exhausted before they are read; the node that sent one knows that it has not run and asks elsewhere.

--- a/io/hostnode/node.go
+++ b/io/hostnode/node.go
@@ -46,7 +46,8 @@
 	taskLimit = 64
 	// askTimeout bounds one request to another node; it spans several round trips between regions.
 	askTimeout = time.Second
-	// peerRoomDivisor divides the memory of the process to get the bound of all long answers of other nodes together.
+	// peerRoomDivisor divides the memory of the process to get the bound of all long answers of other nodes together, and
+	// that of all long calls from them.
 	peerRoomDivisor = 8
 	// storeTimeout bounds one request to the store, which normally answers within milliseconds.
 	storeTimeout = 2 * time.Second
@@ -172,6 +173,7 @@
 	ignoreLeader := func(string, leader.Leader) {}
 	nod.peerClient.Leader, nod.peerClient.OnLeader = noLeader, ignoreLeader
 	nod.peerServer.Leader, nod.peerServer.OnLeader = noLeader, ignoreLeader
+	nod.peerServer.Bodies = room.New(set.MemoryBytes / peerRoomDivisor)
 	nod.setUpCalls()
 	nod.setUpServer()
 	nod.setUpMembers()
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -120,8 +120,8 @@
 	return ans, reply, nil
 }
 
-// refusalOfFailure returns the refusal for a call without an answer. Only a call that was never sent is known not to
-// have run.
+// refusalOfFailure returns the refusal for a call without an answer. Only a call that was never sent, or that the peer had no
+// room to read, is known not to have run.
 func refusalOfFailure(address netip.AddrPort, err error) *refusal.Refusal {
 	ref := refusal.Unknown(reason.PeerUnreachable, "run at peer")
 	var fai *http1.Failure
@@ -129,6 +129,10 @@
 		ref = refusal.NotRun(reason.PeerUnreachable, "connect to peer")
 		ref.Elsewhere = true
 	}
+	if connect.IsWireError(err) && connect.CodeOf(err) == connect.CodeResourceExhausted {
+		ref = refusal.NotRun(reason.BodiesFull, "run at peer")
+		ref.Elsewhere = true
+	}
 	ref.Peer = address
 	return ref
 }
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -12,12 +13,22 @@
 	"flamingoreach/io/message"
 	"flamingoreach/io/peer/callv1"
 	"flamingoreach/io/peer/callv1/callv1connect"
+	"flamingoreach/io/room"
+)
+
+const (
+	// freeCallBytes is the length up to which a call takes no room.
+	freeCallBytes = 64 << 10
+	// longestRoomWait is how long a longer call waits for room.
+	longestRoomWait = 500 * time.Millisecond
 )
 
 // Server handles the calls and control messages of other nodes; its function fields connect it with the local node.
 type Server struct {
 	leaderHooks
 
+	// Bodies is the room that long calls share from before they are read to their end.
+	Bodies *room.Room
 	// RunCall runs a call at the local gate.
 	RunCall func(ctx context.Context, cal call.Call, msg message.Message) (answer.Answer, message.Message)
 
@@ -38,10 +49,32 @@
 
 // Handler returns the handler of all messages between nodes. It must be called only once.
 func (ser *Server) Handler() http.Handler {
-	ser.mux.Handle(callv1connect.NewCallServiceHandler(ser, connect.WithReadMaxBytes(maxMessageBytes)))
+	path, handler := callv1connect.NewCallServiceHandler(ser, connect.WithReadMaxBytes(maxMessageBytes))
+	ser.mux.Handle(path, ser.awaitRoom(handler))
 	return ser.mux
 }
 
+// awaitRoom reads a long call only once there is room for it. One that finds none in time fails with resource_exhausted,
+// which the client takes to mean that it has not run.
+func (ser *Server) awaitRoom(next http.Handler) http.Handler {
+	errors := connect.NewErrorWriter()
+	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		if req.ContentLength <= freeCallBytes {
+			next.ServeHTTP(wri, req)
+			return
+		}
+		ctx, cancel := context.WithTimeout(req.Context(), longestRoomWait)
+		taken, err := ser.Bodies.Await(ctx, req.ContentLength)
+		cancel()
+		if err != nil {
+			_ = errors.Write(wri, req, connect.NewError(connect.CodeResourceExhausted, err))
+			return
+		}
+		defer ser.Bodies.GiveBack(taken)
+		next.ServeHTTP(wri, req)
+	})
+}
+
 // Run decodes one attempt and runs it at the local gate; it fails with invalid_argument if it cannot be decoded.
 func (ser *Server) Run(ctx context.Context, req *connect.Request[callv1.RunRequest]) (*connect.Response[callv1.RunResponse], error) {
 	cal, msg, err := decodeRequest(req.Msg)
--- a/io/peer/transport_test.go
+++ b/io/peer/transport_test.go
@@ -21,6 +21,7 @@
 	"flamingoreach/core/refusal"
 	"flamingoreach/io/message"
 	"flamingoreach/io/peer"
+	"flamingoreach/io/room"
 )
 
 const testTime = 5 * time.Second
@@ -75,6 +76,49 @@
 	calls.Wait()
 }
 
+// Guards against a node that runs out of memory by the long calls that several other nodes send it at once.
+func TestALongCallThatFindsNoRoomHasNotRun(t *testing.T) {
+	const long = 1 << 20
+	block := make(chan struct{})
+	started := make(chan struct{}, 1)
+	ser := peer.NewServer()
+	ser.Bodies = room.New(long * 3 / 2)
+	ser.RunCall = func(ctx context.Context, cal call.Call, msg message.Message) (answer.Answer, message.Message) {
+		if len(msg.Body) == long {
+			started <- struct{}{}
+			<-block
+		}
+		return echo(ctx, cal, msg)
+	}
+	server := httptest.NewServer(ser.Handler())
+	defer server.Close()
+	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	cli := peer.NewPooledClient(nil)
+	defer cli.Close()
+	run := func(length int) (message.Message, error) {
+		_, reply, err := cli.Run(t.Context(), address, newCall(), 1, message.Message{Method: http.MethodPost, Body: make([]byte, length)})
+		return reply, err
+	}
+	first := make(chan error, 1)
+	go func() {
+		_, err := run(long)
+		first <- err
+	}()
+	<-started
+	_, err := run(long)
+	var ref *refusal.Refusal
+	require.ErrorAs(t, err, &ref)
+	require.Equal(t, reason.BodiesFull, ref.Reason)
+	require.Equal(t, outcome.NotRun, ref.Outcome)
+	require.True(t, ref.Elsewhere)
+	reply, err := run(1)
+	require.NoError(t, err, "a short call needs no room")
+	require.Len(t, reply.Body, 1)
+	close(block)
+	require.NoError(t, <-first)
+	require.Eventually(t, func() bool { return ser.Bodies.Used() == 0 }, testTime, time.Millisecond)
+}
+
 func TestOnlyACallThatWasNeverSentHasOutcomeNotRun(t *testing.T) {
 	for name, cli := range map[string]*peer.Client{"pooled": peer.NewPooledClient(nil), "HTTP/2": peer.NewClient(nil)} {
 		t.Run(name, func(t *testing.T) {
