--- a/io/hostnode/fleet_test.go
+++ b/io/hostnode/fleet_test.go
@@ -200,6 +200,12 @@
 	return cfg
 }
 
+// addOpenRoute adds a route that needs no key and is otherwise like another one.
+func addOpenRoute(cfg *configuration.Configuration, open route.Route) {
+	open.Name, open.PathPrefix, open.Open = "open", "/open/", true
+	cfg.Routes = append(cfg.Routes, open)
+}
+
 // setRun sets the function that executes calls as the host's backend server.
 func (hos *host) setRun(run func(ctx context.Context, cal call.Call) (answer.Answer, message.Message)) {
 	hos.run.Store(&run)
--- a/io/hostnode/node_test.go
+++ b/io/hostnode/node_test.go
@@ -266,9 +266,7 @@
 	t.Helper()
 	const interval, serviceTime = 600 * time.Millisecond, 1500 * time.Millisecond
 	cfg := testConfiguration(1)
-	open := cfg.Routes[1]
-	open.Name, open.PathPrefix, open.Open = "open", "/open/", true
-	cfg.Routes = append(cfg.Routes, open)
+	addOpenRoute(&cfg, cfg.Routes[1])
 	hosts := startFleet(t, newStore(cfg), "quotes", "confirms")
 	block := make(chan struct{})
 	defer close(block)
@@ -329,9 +327,7 @@
 	for number := range cfg.Routes {
 		cfg.Routes[number].Timeout, cfg.Routes[number].TargetLatency = 20*time.Second, 0
 	}
-	open := cfg.Routes[1]
-	open.Name, open.PathPrefix, open.Open = "open", "/open/", true
-	cfg.Routes = append(cfg.Routes, open)
+	addOpenRoute(&cfg, cfg.Routes[1])
 	hosts := startFleet(t, newStore(cfg), "quotes", "confirms")
 	block := make(chan struct{})
 	defer close(block)
@@ -450,9 +446,7 @@
 func TestDeeperCallsEarnNoRetries(t *testing.T) {
 	const calls = 800
 	cfg := testConfiguration(1)
-	open := cfg.Routes[0]
-	open.Name, open.PathPrefix, open.Open = "open", "/open/", true
-	cfg.Routes = append(cfg.Routes, open)
+	addOpenRoute(&cfg, cfg.Routes[0])
 	hosts := startFleet(t, newStore(cfg), "confirms", "quotes", "quotes")
 	for _, hos := range hosts[1:] {
 		hos.setRun(func(_ context.Context, cal call.Call) (answer.Answer, message.Message) {
