Record the leaving of a process that was never heard of

Callers could see: a process that left before this node had heard of it was used if its heartbeat came late and an earlier process of the same ID was the one that the node knew.

Cause: the leaving was recorded with the start time of the known process.

Change: the later start time is recorded.

TestALateAnnouncementOfAProcessThatLeftUnheardIsIgnored failed before and passes.

--- a/core/localserver/server.go
+++ b/core/localserver/server.go
@@ -131,7 +131,11 @@
 		ser.leftAt[id] = started
 		return false
 	}
-	ser.leftAt[id] = ser.latest.Started
+	// A later process of the ID may leave before this node has heard of it.
+	if started.Before(ser.latest.Started) {
+		started = ser.latest.Started
+	}
+	ser.leftAt[id] = started
 	ser.lastAnnounced = time.Now()
 	ser.fire(Draining)
 	return true
--- a/core/localserver/server_test.go
+++ b/core/localserver/server_test.go
@@ -104,6 +104,17 @@
 	require.Equal(t, []string{"open", "serving", "drain", "draining"}, log)
 }
 
+// Guards against a process that is used after it has left because its heartbeat arrives only then, and an earlier process of
+// the same ID was the one that this node knew.
+func TestALateAnnouncementOfAProcessThatLeftUnheardIsIgnored(t *testing.T) {
+	var log []string
+	ser := newServer(&log)
+	ser.Announced(announcement.Announcement{ID: "a", Sequence: 7, State: "serving", Started: time.Unix(1, 0)})
+	ser.ProcessLeaving("a", time.Unix(2, 0))
+	ser.Announced(announcement.Announcement{ID: "a", Sequence: 1, State: "serving", Started: time.Unix(2, 0)})
+	require.NotEqual(t, localserver.Serving, ser.State())
+}
+
 func TestTheFirstAnnouncementSinceTheStartOfTheNodeIsDoubted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var log []string
