Read the era of the platform's store

A store that comes back from an older copy tells a higher era in the header of its answers and gives out revisions again. Readings now carry it, and storeposition.Position orders what was read. Nothing uses it yet.

--- a/core/configurationfeed/reading/reading.go
+++ b/core/configurationfeed/reading/reading.go
@@ -4,6 +4,7 @@
 	"errors"
 
 	"flamingoreach/core/configuration"
+	"flamingoreach/core/storeposition"
 )
 
 // ErrHistoryExpired means that the store no longer has the changes after the requested revision.
@@ -15,4 +16,11 @@
 	Configuration *configuration.Configuration
 	// Revision is the store's revision at the answer; the next request asks for changes after it.
 	Revision uint64
+	// Era is the store's era at the answer, see storeposition.Position.
+	Era uint64
+}
+
+// Position returns the position in the store of which the answer tells.
+func (rea Reading) Position() storeposition.Position {
+	return storeposition.Position{Era: rea.Era, Revision: rea.Revision}
 }
--- /dev/null
+++ b/core/storeposition/doc.go
@@ -0,0 +1,2 @@
+// Package storeposition orders what nodes read from the platform's store.
+package storeposition
