Restrict requests to the regions of route and client account

Cause: routes and client accounts of the configuration may list allowed regions, which the node ignored: in io/hostnode, 20 of 30 requests of a route restricted to one region ran outside it.

Change: the lists are decoded, admission sets the regions of a call to their intersection, the ingress leaves out members elsewhere, and a gate outside the regions refuses the call as not run. A call whose regions have no member of its service is refused with noAllowedRegion.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -11,6 +11,7 @@
 	"flamingoreach/core/call"
 	"flamingoreach/core/clientaccount"
 	"flamingoreach/core/configuration"
+	"flamingoreach/core/placement"
 	"flamingoreach/core/reason"
 	"flamingoreach/core/refusal"
 	"flamingoreach/core/request"
@@ -66,6 +67,7 @@
 	cal.Idempotent = rou.Idempotent
 	cal.Deadline = time.Now().Add(timeout(rou, req))
 	cal.QueueWait = rou.TargetLatency / queueWaitDivisor
+	cal.Regions, _ = placement.Intersect(rou.Regions, nil)
 	if req.Parent != nil {
 		return adm.admitDeeper(cal, rou, req)
 	}
@@ -119,6 +121,7 @@
 		cal.Account = acc.Name
 		cal.KeyID = keyID
 		cal.Priority = priority(cal.Priority, acc)
+		cal.Regions, _ = placement.Intersect(rou.Regions, acc.Regions)
 	}
 	cal.Fingerprint = fingerprint(cal, req)
 	cal.Allowance = cfg.RetryAllowance
--- a/core/call/call.go
+++ b/core/call/call.go
@@ -39,4 +39,7 @@
 	RefuseWhenFull bool `json:"atOnce,omitempty"`
 	// Fingerprint identifies the content of the call for the quarantine of crashing calls.
 	Fingerprint uint64 `json:"fingerprint"`
+	// Regions are the only regions in which the call may run; nil means no restriction, and an empty list that it may run
+	// in none.
+	Regions []string `json:"regions,omitzero"`
 }
--- a/core/clientaccount/clientaccount.go
+++ b/core/clientaccount/clientaccount.go
@@ -17,4 +17,6 @@
 	// of equal priority.
 	Priority *int
 	Keys     []keyhash.Hash
+	// Regions are the only regions in which calls of the account may run, or empty for no restriction.
+	Regions []string `json:",omitempty"`
 }
--- a/core/reason/reason.go
+++ b/core/reason/reason.go
@@ -31,6 +31,9 @@
 	DeadlineTooShort Reason = "deadlineTooShort"
 	Cancelled        Reason = "cancelled"
 	NoBackendServer  Reason = "noBackendServer"
+	// NoAllowedRegion means that the regions in which the call may run have no member of the service, or that the gate is
+	// outside them.
+	NoAllowedRegion Reason = "noAllowedRegion"
 	// DeeperLimit means that too many deeper calls to the service are in flight.
 	DeeperLimit Reason = "deeperLimit"
 	// SlotsInUse means that no slot is free and the call must not be queued.
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -30,4 +30,6 @@
 	Attempts int
 	// TargetLatency is the time within which callers expect an answer, or 0 if none is set.
 	TargetLatency time.Duration
+	// Regions are the only regions in which calls of the route may run, or empty for no restriction.
+	Regions []string `json:",omitempty"`
 }
--- a/io/hostnode/calls.go
+++ b/io/hostnode/calls.go
@@ -16,6 +16,7 @@
 	"flamingoreach/core/configuration"
 	"flamingoreach/core/member"
 	"flamingoreach/core/outcome"
+	"flamingoreach/core/placement"
 	"flamingoreach/core/reason"
 	"flamingoreach/core/refusal"
 	"flamingoreach/core/request"
@@ -43,9 +44,11 @@
 // the peer server that calls need.
 func (nod *Node) setUpCalls() {
 	nod.runner = &attempt.Runner{
-		Candidates: func(cal call.Call) []member.Member { return nod.view.Load().Serving(cal.Service) },
-		Choose:     nod.picker.ChooseByExpectedLatency,
-		OnSend:     nod.picker.RecordSent,
+		Candidates: func(cal call.Call) []member.Member {
+			return placement.Filter(cal.Regions, nod.view.Load().Serving(cal.Service))
+		},
+		Choose: nod.picker.ChooseByExpectedLatency,
+		OnSend: nod.picker.RecordSent,
 		OnAnswer: func(id, account string, ans answer.Answer, elapsed time.Duration) {
 			nod.picker.RecordAnswer(id, account, ans, elapsed)
 			nod.metrics.ObserveAttempt(elapsed)
@@ -98,6 +101,9 @@
 		// deeper calls.
 		nod.retryBudget.Earn(cal.Service)
 	}
+	if ref := nod.checkRegions(cal); ref != nil {
+		return nod.refuseRequest(cal, req, ref, started)
+	}
 	if win := nod.stopWindow.Load(); win != nil && !win.Admits(started, cal.Deadline) {
 		ref := refusal.NotRun(reason.Draining, "take request during the stop")
 		ref.RetryAfter = elsewhereAfter
@@ -172,6 +178,12 @@
 		ref.Elsewhere = true
 		return answer.Answer{CallID: cal.ID, AllowanceLeft: cal.Allowance, Refusal: ref}, message.Message{}
 	}
+	if ref := nod.checkOwnRegion(cal); ref != nil {
+		ans := answer.Answer{CallID: cal.ID, AllowanceLeft: cal.Allowance, Refusal: ref}
+		nod.metrics.CountRefusal("gate", ref.Reason)
+		nod.logGateRefusal(cal, ans)
+		return ans, message.Message{}
+	}
 	ans, payload := nod.gate.Run(ctx, cal, func(ctx context.Context) (answer.Answer, any) {
 		ann := nod.backend.Load()
 		if ann == nil {
@@ -214,6 +226,9 @@
 		"version", nod.version(), "versionAge", time.Since(time.Unix(0, nod.versionAppliedAt.Load())).Round(time.Millisecond),
 		"members", len(nod.view.Load().Serving(cal.Service)),
 	}
+	if cal.Regions != nil {
+		fields = append(fields, "regions", cal.Regions)
+	}
 	if ref := ans.Refusal; ref != nil {
 		out, dec = ref.Outcome, nod.refusedLog
 		nod.metrics.CountRefusal(layer, ref.Reason)
--- a/io/peer/translate.go
+++ b/io/peer/translate.go
@@ -42,6 +42,7 @@
 		QueueWait:            durationpb.New(cal.QueueWait),
 		AtOnce:               cal.RefuseWhenFull,
 		Host:                 msg.Host,
+		Regions:              cal.Regions,
 	}
 }
 
@@ -72,6 +73,7 @@
 		CallerService:  req.GetCallerService(),
 		QueueWait:      req.GetQueueWait().AsDuration(),
 		RefuseWhenFull: req.GetAtOnce(),
+		Regions:        req.GetRegions(),
 	}
 	msg := message.Message{Method: req.GetMethod(), Host: req.GetHost(), Target: req.GetTarget(), Header: decodeHeader(req.GetFields()), Body: req.GetBody()}
 	return cal, msg, nil
--- a/io/peer/transport_test.go
+++ b/io/peer/transport_test.go
@@ -133,6 +133,24 @@
 	}
 }
 
+// Guards against a gate that cannot check the regions of a call, or takes a call without a restriction for one.
+func TestACallCarriesItsRegions(t *testing.T) {
+	received := make(chan []string, 1)
+	_, address := serve(t, func(ctx context.Context, cal call.Call, msg message.Message) (answer.Answer, message.Message) {
+		received <- cal.Regions
+		return echo(ctx, cal, msg)
+	})
+	cli := peer.NewPooledClient(nil)
+	defer cli.Close()
+	for _, regions := range [][]string{nil, {"r"}, {"r", "s"}} {
+		cal := newCall()
+		cal.Regions = regions
+		_, _, err := cli.Run(t.Context(), address, cal, 1, message.Message{})
+		require.NoError(t, err)
+		require.Equal(t, regions, <-received)
+	}
+}
+
 func TestACallThatCrossesTheEndOfItsConnectionHasOutcomeNotRun(t *testing.T) {
 	server, address := serve(t, echo)
 	server.Config.Handler = http.HandlerFunc(func(wri http.ResponseWriter, _ *http.Request) { wri.WriteHeader(http.StatusRequestTimeout) })
