Keep crash records of restricted calls in their regions

Cause: a crash record went to all nodes of the service and to the platform's table, also if its call may run in some regions only.

Change: a record has the regions of its last crash. It is sent only to nodes there, by every node that passes it on, and is not written to the table, which nodes of all regions read.

Result: the tests of crashlink and quarantine pass; with the check of the recipient's region or that of the table taken out, they fail.

--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -12,4 +12,6 @@
 	ID          uuid.UUID
 	Fingerprint uint64
 	At          time.Time
+	// Regions are the regions in which the call may run, as in call.Call; nil means no restriction.
+	Regions []string
 }
--- a/core/crash/record/record.go
+++ b/core/crash/record/record.go
@@ -12,4 +12,7 @@
 	Crashes     []crash.Crash
 	// Cleared is the last time that a call with the fingerprint ran to its end, or zero; earlier crashes do not count.
 	Cleared time.Time
+	// Regions are the only regions whose nodes may have the record, or nil for no restriction: those of the call that
+	// crashed last.
+	Regions []string
 }
--- a/core/gate/crash.go
+++ b/core/gate/crash.go
@@ -26,6 +26,12 @@
 	maxFailed = 4096
 )
 
+// failure is what the gate remembers of the last failed call with a fingerprint: its time and the call's regions.
+type failure struct {
+	at      time.Time
+	regions []string
+}
+
 // CrashRevision returns the revision of the latest change of the crash records.
 func (gat *Gate) CrashRevision() uint64 {
 	gat.mut.Lock()
@@ -74,7 +80,7 @@
 	gat.mut.Lock()
 	defer gat.mut.Unlock()
 	now := time.Now()
-	maps.DeleteFunc(gat.failed, func(_ uint64, at time.Time) bool { return now.Sub(at) > announcementDelay })
+	maps.DeleteFunc(gat.failed, func(_ uint64, fai failure) bool { return now.Sub(fai.at) > announcementDelay })
 }
 
 // markSuspects records a death of the backend server's process. Suspects are the failed calls whose failure may have been
@@ -82,8 +88,8 @@
 func (gat *Gate) markSuspects() {
 	id, now := uuid.New(), time.Now()
 	dea := death.Death{Running: len(gat.running), Failed: len(gat.failed)}
-	for fin := range gat.failed {
-		gat.quarantine.RecordCrash(crash.Crash{ID: id, Fingerprint: fin, At: now}, now)
+	for fin, fai := range gat.failed {
+		gat.quarantine.RecordCrash(crash.Crash{ID: id, Fingerprint: fin, At: now, Regions: fai.regions}, now)
 		dea.Suspects = append(dea.Suspects, fin)
 	}
 	clear(gat.failed)
@@ -120,10 +126,10 @@
 		return
 	case exe.deathID != uuid.Nil:
 		if fin != 0 {
-			gat.quarantine.RecordCrash(crash.Crash{ID: exe.deathID, Fingerprint: fin, At: exe.diedAt}, now)
+			gat.quarantine.RecordCrash(crash.Crash{ID: exe.deathID, Fingerprint: fin, At: exe.diedAt, Regions: exe.call.Regions}, now)
 		}
 	default:
-		gat.recordFailed(fin, now)
+		gat.recordFailed(exe.call, now)
 		if ans.Refusal.Reason != reason.BackendServerFailed {
 			return
 		}
@@ -135,11 +141,11 @@
 	ans.Refusal = refusal.Unknown(reason.Quarantined, "gate.suspect")
 }
 
-// recordFailed remembers the fingerprint of a call that ended without an answer until it is known whether the backend
-// server's process survived.
-func (gat *Gate) recordFailed(fingerprint uint64, now time.Time) {
-	if _, known := gat.failed[fingerprint]; fingerprint == 0 || !known && len(gat.failed) >= maxFailed {
+// recordFailed remembers a call that ended without an answer until it is known whether the backend server's process
+// survived.
+func (gat *Gate) recordFailed(cal call.Call, now time.Time) {
+	if _, known := gat.failed[cal.Fingerprint]; cal.Fingerprint == 0 || !known && len(gat.failed) >= maxFailed {
 		return
 	}
-	gat.failed[fingerprint] = now
+	gat.failed[cal.Fingerprint] = failure{at: now, regions: cal.Regions}
 }
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -84,9 +84,9 @@
 	admissionLevel   *admissionlevel.Level
 	dedupe           *dedupe.Table
 	quarantine       *quarantine.List
-	// failed maps the fingerprints of calls that ended without an answer to the time of the last failure. If the backend
+	// failed maps the fingerprints of calls that ended without an answer to the last failure. If the backend
 	// server's process turns out to have died, they are suspects.
-	failed map[uint64]time.Time
+	failed map[uint64]failure
 	// serviceTime is the moving average of the time that calls take to run.
 	serviceTime time.Duration
 	// idle is nil until Drain is called, and is closed when no call runs or waits.
@@ -112,7 +112,7 @@
 	gat := &Gate{
 		state:   gateMachine.Initial(),
 		running: map[*execution]struct{}{},
-		failed:  map[uint64]time.Time{},
+		failed:  map[uint64]failure{},
 		refused: map[reason.Reason]uint64{},
 	}
 	gat.policy = pol.WithDefaults()
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -41,6 +41,8 @@
 	crashes []crash.Crash
 	// cleared is the last time that a call with the fingerprint ran to its end; earlier crashes do not count.
 	cleared time.Time
+	// regions are those of the last crash, as in record.Record.
+	regions []string
 	// revision is the list's revision at the last change, and localRevision that at the last change that was not imported.
 	revision, localRevision uint64
 }
@@ -52,7 +54,13 @@
 
 // RecordCrash records that a call with a fingerprint may have crashed the backend server.
 func (lis *List) RecordCrash(cra crash.Crash, now time.Time) {
-	lis.update(cra.Fingerprint, now, false, func(sus *suspect) bool { return lis.addCrash(sus, cra, now) })
+	lis.update(cra.Fingerprint, now, false, func(sus *suspect) bool {
+		added := lis.addCrash(sus, cra, now)
+		if added {
+			sus.regions = cra.Regions
+		}
+		return added
+	})
 }
 
 // Clear discards the crashes of a fingerprint after a call with it ran to its end. Without crashes there is nothing to
@@ -135,7 +143,7 @@
 	records := make([]record.Record, 0, len(changed))
 	for _, fin := range changed {
 		sus := lis.entries[fin]
-		records = append(records, record.Record{Fingerprint: fin, Crashes: sus.crashes, Cleared: sus.cleared})
+		records = append(records, record.Record{Fingerprint: fin, Crashes: sus.crashes, Cleared: sus.cleared, Regions: sus.regions})
 	}
 	return records, upTo
 }
@@ -148,6 +156,9 @@
 			for _, cra := range rec.Crashes {
 				changed = lis.addCrash(sus, cra, now) || changed
 			}
+			if changed {
+				sus.regions = rec.Regions
+			}
 			return changed
 		})
 	}
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -130,3 +130,25 @@
 		require.Len(t, exported(second), 2)
 	})
 }
+
+// Guards against a record that loses the restriction of its call when it is imported or cleared.
+func TestARecordHasTheRegionsOfTheLastCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second := quarantine.New(time.Minute), quarantine.New(time.Minute)
+		crashIn := func(regions ...string) {
+			time.Sleep(time.Second)
+			first.RecordCrash(crash.Crash{ID: uuid.New(), Fingerprint: 7, At: time.Now(), Regions: regions}, time.Now())
+			pass(first, second)
+		}
+		for _, regions := range [][]string{{"r"}, {"r", "s"}, nil, {"s"}} {
+			crashIn(regions...)
+			require.Equal(t, regions, exported(first)[0].Regions)
+			require.Equal(t, regions, exported(second)[0].Regions)
+		}
+		time.Sleep(time.Second)
+		first.Clear(7, time.Now())
+		pass(first, second)
+		require.Empty(t, exported(second)[0].Crashes)
+		require.Equal(t, []string{"s"}, exported(second)[0].Regions)
+	})
+}
--- a/io/crashlink/crashlink.go
+++ b/io/crashlink/crashlink.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
+	"flamingoreach/core/crash/record"
 	"flamingoreach/core/gate"
 	"flamingoreach/core/member"
 	"flamingoreach/core/outcome"
+	"flamingoreach/core/placement"
 	"flamingoreach/core/reason"
 	"flamingoreach/core/refusal"
 	"flamingoreach/io/dispatcher"
@@ -52,6 +55,7 @@
 // recipient is what the link knows of another node.
 type recipient struct {
 	address netip.AddrPort
+	region  string
 	// joined is the revision of the gate's records at which the node became known, and confirmed the revision up to which
 	// it has them.
 	joined, confirmed uint64
@@ -86,7 +90,7 @@
 		if !found {
 			rec = &recipient{joined: revision}
 		}
-		rec.address = mem.Peer
+		rec.address, rec.region = mem.Peer, mem.Region
 		known[mem.ID] = rec
 	}
 	lin.recipients = known
@@ -97,9 +101,10 @@
 	}
 }
 
-// sendTo sends a node the oldest records that it has not confirmed.
+// sendTo sends a node the oldest records that it has not confirmed, except those that its region must not have.
 func (lin *Link) sendTo(rec *recipient) {
 	records, upTo := lin.Gate.CrashRecords(rec.confirmed, rec.joined)
+	records = slices.DeleteFunc(records, func(cra record.Record) bool { return !placement.Allows(cra.Regions, rec.region) })
 	if len(records) == 0 {
 		rec.confirmed = upTo
 		return
--- a/io/crashlink/crashlink_test.go
+++ b/io/crashlink/crashlink_test.go
@@ -18,6 +18,8 @@
 	"flamingoreach/core/answer"
 	"flamingoreach/core/call"
 	"flamingoreach/core/control"
+	"flamingoreach/core/crash"
+	"flamingoreach/core/crash/record"
 	"flamingoreach/core/gate"
 	"flamingoreach/core/gatepolicy"
 	"flamingoreach/core/leader"
@@ -44,6 +46,8 @@
 
 	mut   sync.Mutex
 	peers []member.Member
+	// regions are those of the calls that run sends.
+	regions []string
 }
 
 // know adds other nodes to the peers of a node.
@@ -62,6 +66,11 @@
 }
 
 func newNode(t *testing.T) *node {
+	t.Helper()
+	return newNodeWithTable(t, nil)
+}
+
+func newNodeWithTable(t *testing.T, tab *crashlink.Table) *node {
 	t.Helper()
 	nod := &node{gate: gate.New(gatepolicy.Policy{QuarantineTime: time.Minute, RetrySuspects: true})}
 	cli, ser := peer.NewPooledClient(nil), peer.NewServer()
@@ -69,7 +78,7 @@
 	cli.OnLeader = func(string, leader.Leader) {}
 	ser.Leader, ser.OnLeader = cli.Leader, cli.OnLeader
 	dis := &dispatcher.Dispatcher{Control: control.New(64), Tasks: tasks.New(8), Log: log.New(io.Discard)}
-	nod.link = &crashlink.Link{Dispatcher: dis, Client: cli, Server: ser, Gate: nod.gate, Peers: nod.knownPeers, AskTimeout: time.Second}
+	nod.link = &crashlink.Link{Dispatcher: dis, Client: cli, Server: ser, Gate: nod.gate, Peers: nod.knownPeers, AskTimeout: time.Second, Table: tab}
 	nod.link.Register()
 	handler := ser.Handler()
 	server := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
@@ -97,7 +106,7 @@
 // run runs a call with the fingerprint and returns its answer. The call crashes the backend server if crash is set.
 func (nod *node) run(t *testing.T, crash bool) answer.Answer {
 	t.Helper()
-	cal := call.Call{ID: uuid.New(), Root: uuid.New(), Fingerprint: fingerprint, Deadline: time.Now().Add(time.Second)}
+	cal := call.Call{ID: uuid.New(), Root: uuid.New(), Fingerprint: fingerprint, Deadline: time.Now().Add(time.Second), Regions: nod.regions}
 	ans, _ := nod.gate.Run(t.Context(), cal, func(context.Context) (answer.Answer, any) {
 		if !crash {
 			return answer.Answer{}, nil
@@ -158,3 +167,56 @@
 	first.run(t, true)
 	require.False(t, first.refuses())
 }
+
+// Guards against a record of a restricted call that reaches a node outside the call's regions: from the node that ran the
+// call, or from one that passes it on to a node that becomes known.
+func TestARecordOfARestrictedCallStaysInItsRegions(t *testing.T) {
+	first, inside, outside, newcomer := newNode(t), newNode(t), newNode(t), newNode(t)
+	first.member.Region, inside.member.Region = "r", "s"
+	outside.member.Region, newcomer.member.Region = "t", "t"
+	first.regions = []string{"r", "s"}
+	first.know(inside, outside)
+	first.run(t, true)
+	first.run(t, true)
+	require.True(t, inside.refuses())
+	inside.know(newcomer, first)
+	// A second record, of a call without a restriction, shows that the records were sent.
+	inside.gate.AddCrashRecords([]record.Record{{Fingerprint: fingerprint + 1, Crashes: []crash.Crash{
+		{ID: uuid.New(), Fingerprint: fingerprint + 1, At: time.Now()},
+	}}})
+	require.Eventually(t, func() bool { return newcomer.gate.KnowsCrashes(fingerprint + 1) }, testTime, 10*time.Millisecond)
+	require.False(t, newcomer.gate.KnowsCrashes(fingerprint))
+	require.False(t, outside.gate.KnowsCrashes(fingerprint))
+}
+
+// Guards against a record of a restricted call in the table, which nodes of all regions read.
+func TestARecordOfARestrictedCallIsNotWrittenToTheTable(t *testing.T) {
+	var mut sync.Mutex
+	rows := map[uint64]record.Record{}
+	has := func(fin uint64) bool {
+		mut.Lock()
+		defer mut.Unlock()
+		return len(rows[fin].Crashes) > 0
+	}
+	nod := newNodeWithTable(t, &crashlink.Table{
+		Read: func(context.Context) ([]record.Record, error) { return nil, nil },
+		Write: func(_ context.Context, records []record.Record) error {
+			mut.Lock()
+			defer mut.Unlock()
+			for _, rec := range records {
+				rows[rec.Fingerprint] = rec
+			}
+			return nil
+		},
+		Timeout: time.Second,
+	})
+	nod.run(t, true)
+	nod.run(t, true)
+	require.Eventually(t, func() bool { return has(fingerprint) }, testTime, 10*time.Millisecond)
+	nod.regions = []string{"r"}
+	// The gate refuses the content by now; it becomes known by another node's record that its calls are restricted.
+	nod.gate.AddCrashRecords([]record.Record{{Fingerprint: fingerprint, Regions: nod.regions, Crashes: []crash.Crash{
+		{ID: uuid.New(), Fingerprint: fingerprint, At: time.Now()},
+	}}})
+	require.Eventually(t, func() bool { return !has(fingerprint) }, testTime, 10*time.Millisecond)
+}
--- a/io/crashlink/message.go
+++ b/io/crashlink/message.go
@@ -16,6 +16,8 @@
 	Crashes     []crashMessage `json:"crashes" cbor:"2,keyasint,omitempty"`
 	// ClearedAge is nil if the record was never cleared.
 	ClearedAge *time.Duration `json:"clearedAge,omitempty" cbor:"3,keyasint,omitempty"`
+	// Regions are the only regions whose nodes may have the record; nil means no restriction.
+	Regions []string `json:"regions,omitempty" cbor:"4,keyasint,omitempty"`
 }
 
 // crashMessage is one crash of a recordMessage.
@@ -27,7 +29,7 @@
 func encodeRecords(records []record.Record, now time.Time) []recordMessage {
 	messages := make([]recordMessage, 0, len(records))
 	for _, rec := range records {
-		msg := recordMessage{Fingerprint: rec.Fingerprint}
+		msg := recordMessage{Fingerprint: rec.Fingerprint, Regions: rec.Regions}
 		for _, cra := range rec.Crashes {
 			msg.Crashes = append(msg.Crashes, crashMessage{ID: cra.ID, Age: now.Sub(cra.At)})
 		}
@@ -47,7 +49,7 @@
 		if msg.Fingerprint == 0 {
 			continue
 		}
-		rec := record.Record{Fingerprint: msg.Fingerprint}
+		rec := record.Record{Fingerprint: msg.Fingerprint, Regions: msg.Regions}
 		for _, cra := range msg.Crashes {
 			rec.Crashes = append(rec.Crashes, crash.Crash{ID: cra.ID, Fingerprint: msg.Fingerprint, At: now.Add(-max(cra.Age, 0))})
 		}
--- a/io/crashlink/table.go
+++ b/io/crashlink/table.go
@@ -13,8 +13,8 @@
 // seldom matter.
 const minTableCrashes = 2
 
-// Table keeps the crash records of one service on the platform. A node reads them when it starts, and writes those that
-// it has changed itself.
+// Table keeps the crash records of one service on the platform, except those that are restricted to regions. A node reads
+// them when it starts, and writes those that it has changed itself.
 type Table struct {
 	// Read reads the records. Write writes records and deletes those without crashes.
 	Read  func(ctx context.Context) ([]record.Record, error)
@@ -66,6 +66,10 @@
 	changed, upTo := lin.Gate.OwnCrashRecords(tab.written)
 	records := slices.Clone(tab.expired)
 	for _, rec := range changed {
+		if rec.Regions != nil {
+			// Every node of the service reads the table. A row from before the restriction is deleted.
+			rec.Crashes = nil
+		}
 		if len(rec.Crashes) >= minTableCrashes || len(rec.Crashes) == 0 && tab.kept[rec.Fingerprint] {
 			records = append(records, rec)
 		}
