Report restrictions that leave no region

Cause: a version of the configuration may name an unknown region, or a route and an account without a common one; their requests are then refused, and nothing but the refusals says so.

Change: a log line for each version and name, and a gauge. Known regions are those of the settings' list of data centres and of the members.

--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -8,8 +8,10 @@
 	"github.com/stretchr/testify/require"
 
 	"flamingoreach/core/admission"
+	"flamingoreach/core/allowance"
 	"flamingoreach/core/clientaccount"
 	"flamingoreach/core/configuration"
+	"flamingoreach/core/handle"
 	"flamingoreach/core/refusal"
 	"flamingoreach/core/request"
 	"flamingoreach/core/route"
@@ -49,3 +51,35 @@
 		require.NotEqual(t, first, fingerprintOf(t, route.Route{Name: "r1", Timeout: time.Second}, "bank-a", other))
 	}
 }
+
+// Guards against a call that is restricted by only one of its route and its account, and against a deeper call or one on
+// an open route that is not restricted by its route.
+func TestACallHasTheRegionsOfItsRouteAndAccount(t *testing.T) {
+	for _, test := range []struct {
+		rou      route.Route
+		account  []string
+		parent   *handle.Handle
+		expected []string
+	}{
+		{rou: route.Route{}},
+		{rou: route.Route{Regions: []string{"r"}}, expected: []string{"r"}},
+		{rou: route.Route{}, account: []string{"s"}, expected: []string{"s"}},
+		{rou: route.Route{Regions: []string{"r", "s"}}, account: []string{"s"}, expected: []string{"s"}},
+		{rou: route.Route{Regions: []string{"r"}}, account: []string{"s"}, expected: []string{}},
+		{rou: route.Route{Regions: []string{"r"}, Open: true}, account: []string{"s"}, expected: []string{"r"}},
+		{rou: route.Route{Regions: []string{"r"}, Open: true}, account: []string{"s"}, parent: &handle.Handle{Allowance: allowance.New(0)}, expected: []string{"r"}},
+	} {
+		adm := &admission.Admission{
+			Configuration: func() *configuration.Configuration { cfg := configuration.Default(); return &cfg },
+			FindRoute:     func(request.Request) (route.Route, bool) { return test.rou, true },
+			Authenticate: func(string) (clientaccount.ClientAccount, string, *refusal.Refusal) {
+				return clientaccount.ClientAccount{Name: "a", Regions: test.account}, "k", nil
+			},
+			CheckFence: func() *refusal.Refusal { return nil },
+			TakeToken:  func(context.Context, string) *refusal.Refusal { return nil },
+		}
+		cal, _, ref := adm.Admit(t.Context(), request.Request{Parent: test.parent})
+		require.Nil(t, ref)
+		require.Equal(t, test.expected, cal.Regions)
+	}
+}
--- a/io/hostnode/configuration.go
+++ b/io/hostnode/configuration.go
@@ -91,6 +91,7 @@
 	nod.versionAppliedAt.Store(time.Now().UnixNano())
 	nod.view.Store(nod.view.Load().WithConfiguration(cfg, dir))
 	nod.log.Info("configuration in force", "version", cfg.Version, "source", source, "routes", len(cfg.Routes), "accounts", len(cfg.Accounts))
+	nod.reportRestrictions()
 	nod.spreadVersion(source == "store")
 }
 
--- a/io/hostnode/fleet_test.go
+++ b/io/hostnode/fleet_test.go
@@ -90,8 +90,10 @@
 	runs atomic.Int64
 	// timeout is that of the requests; 0 means two seconds.
 	timeout time.Duration
-	stop    context.CancelFunc
-	end     chan error
+	// logTo, if set, gets the node's log as JSON lines.
+	logTo io.Writer
+	stop  context.CancelFunc
+	end   chan error
 }
 
 func (hos *host) platform(sto *store) hostnode.Platform {
@@ -257,7 +259,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	hos.stop = cancel
-	hos.Node = hostnode.New(hos.settings, hos.platform(sto), log.New(io.Discard))
+	hos.Node = hostnode.New(hos.settings, hos.platform(sto), hos.logger())
 	go func() {
 		hos.end <- hos.Run(ctx, hostnode.Handlers{Callers: hos, Announcements: http.NotFoundHandler(), Ready: http.NotFoundHandler()})
 	}()
@@ -269,6 +271,13 @@
 	}
 }
 
+func (hos *host) logger() *log.Logger {
+	if hos.logTo == nil {
+		return log.New(io.Discard)
+	}
+	return log.NewWithOptions(hos.logTo, log.Options{Formatter: log.JSONFormatter})
+}
+
 // announcement returns the announcement with the given number, counted from 0.
 func (hos *host) announcement(state string, number uint64) announcement.Announcement {
 	return announcement.Announcement{
--- a/io/hostnode/members.go
+++ b/io/hostnode/members.go
@@ -116,6 +116,7 @@
 		}
 		nod.synced.Store(true)
 		nod.log.Info("members known", "members", len(nod.view.Load().Members), "after", now.Sub(nod.started))
+		nod.reportRestrictions()
 	}
 	members := nod.view.Load().Members
 	for _, mem := range members {
--- a/io/hostnode/node.go
+++ b/io/hostnode/node.go
@@ -74,6 +74,10 @@
 	backend atomic.Pointer[announcement.Announcement]
 	bounds  atomic.Pointer[hostsettings.Bounds]
 	leaving atomic.Bool
+	// knownRegions are the regions that the settings list.
+	knownRegions atomic.Pointer[[]string]
+	// restrictionProblems counts the problems of the restrictions in the version in force.
+	restrictionProblems atomic.Int64
 	// stopWindow is nil until the drain begins.
 	stopWindow atomic.Pointer[stopwindow.Window]
 	// synced is set once the members of the fleet are known or syncTimeout has passed.
@@ -160,6 +164,7 @@
 	nod.onRequestsEnd = func(run func()) func() bool { return context.AfterFunc(requestsEnd, run) }
 	nod.requestsEnded = func() bool { return requestsEnd.Err() != nil }
 	nod.bounds.Store(&set.Bounds)
+	nod.knownRegions.Store(&set.Regions)
 	nod.versionConfirmedAt.Store(nod.started.UnixNano())
 	nod.followers = followers.New(nod.id, set.DataCentre, nod.askInterval)
 	nod.dispatcher = &dispatcher.Dispatcher{Control: nod.control, Tasks: nod.tasks, Log: logger}
@@ -211,6 +216,7 @@
 	nod.metrics.Gauge("ejections", func() float64 { return float64(nod.picker.Ejections()) })
 	nod.metrics.Gauge("members", func() float64 { return float64(len(nod.view.Load().Members)) })
 	nod.metrics.Gauge("configuration_version", func() float64 { return float64(nod.version()) })
+	nod.metrics.Gauge("restriction_problems", func() float64 { return float64(nod.restrictionProblems.Load()) })
 	nod.metrics.Gauge("configuration_unconfirmed_seconds", func() float64 {
 		return time.Since(time.Unix(0, nod.versionConfirmedAt.Load())).Seconds()
 	})
--- a/io/hostnode/regions.go
+++ b/io/hostnode/regions.go
@@ -1,6 +1,7 @@
 package hostnode
 
 import (
+	"slices"
 	"time"
 
 	"flamingoreach/core/call"
@@ -34,3 +35,37 @@
 	ref.Elsewhere = true
 	return ref
 }
+
+// reportRestrictions logs the problems of the restrictions in the version in force, once for each version and name. It
+// does nothing until the members are known, because their regions are known regions; it is called again then. It runs on
+// the control thread.
+func (nod *Node) reportRestrictions() {
+	vie := nod.view.Load()
+	if vie.Configuration == nil || !nod.synced.Load() {
+		return
+	}
+	known := append(slices.Clone(*nod.knownRegions.Load()), nod.self.Region)
+	for index := range vie.Members {
+		if region := vie.Members[index].Region; !slices.Contains(known, region) {
+			known = append(known, region)
+		}
+	}
+	problems := placement.Problems(vie.Configuration, known)
+	nod.restrictionProblems.Store(int64(len(problems)))
+	for _, pro := range problems {
+		text, fields := "allowed regions are unknown", []any{"version", vie.Configuration.Version, "regions", pro.Regions}
+		if pro.Route != "" {
+			fields = append(fields, "route", pro.Route)
+		}
+		if pro.Account != "" {
+			fields = append(fields, "account", pro.Account)
+		}
+		if pro.Route != "" && pro.Account != "" {
+			text = "route has no allowed region for an account"
+			fields = append(fields, "accounts", pro.Accounts)
+		} else {
+			fields = append(fields, "regionsLeft", pro.RegionsLeft)
+		}
+		nod.log.Warn(text, fields...)
+	}
+}
--- a/io/hostnode/regions_test.go
+++ b/io/hostnode/regions_test.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -156,3 +159,41 @@
 	require.NoError(t, err)
 	require.Nil(t, ans.Refusal)
 }
+
+// Guards against an unknown region in the configuration that nobody notices, and against a line for it on each event.
+func TestARestrictionThatLeavesNoRegionIsLoggedOnceForEachVersion(t *testing.T) {
+	var out lockedBuffer
+	sto := newStore(restricted(1, []string{"r", "x"}, nil))
+	hos := &host{settings: testSettings("h0", "quotes"), end: make(chan error, 1)}
+	hos.settings.Regions, hos.logTo = []string{"r", "s"}, &out
+	hos.start(t, sto)
+	require.Eventually(t, hos.AcceptsCalls, testTime, 20*time.Millisecond)
+	sto.put(restricted(2, []string{"r"}, []string{"s"}))
+	require.Eventually(t, func() bool { return hos.View().Configuration.Version == 2 }, testTime, 20*time.Millisecond)
+	sto.put(restricted(3, []string{"r"}, nil))
+	require.Eventually(t, func() bool { return hos.View().Configuration.Version == 3 }, testTime, 20*time.Millisecond)
+	time.Sleep(500 * time.Millisecond)
+	lines := out.linesWith(`"regions":`)
+	require.Len(t, lines, 2)
+	require.Contains(t, lines[0], `"msg":"allowed regions are unknown","version":1,"regions":["x"],"route":"quotes","regionsLeft":1`)
+	require.Contains(t, lines[1], `"msg":"route has no allowed region for an account","version":2,"regions":["s"],"route":"quotes","account":"bank-a","accounts":1`)
+}
+
+// lockedBuffer keeps the log of a node that runs.
+type lockedBuffer struct {
+	mut  sync.Mutex
+	text strings.Builder
+}
+
+func (buf *lockedBuffer) Write(text []byte) (int, error) {
+	buf.mut.Lock()
+	defer buf.mut.Unlock()
+	return buf.text.Write(text)
+}
+
+// linesWith returns the lines that contain a text.
+func (buf *lockedBuffer) linesWith(text string) []string {
+	buf.mut.Lock()
+	defer buf.mut.Unlock()
+	return slices.DeleteFunc(strings.Split(buf.text.String(), "\n"), func(line string) bool { return !strings.Contains(line, text) })
+}
--- a/io/hostsettings/settings.go
+++ b/io/hostsettings/settings.go
@@ -35,7 +35,9 @@
 	// capacity of the link between regions; the node's budget for that link assumes this value for all hosts of a
 	// region together.
 	LinkBytes int
-	Bounds    Bounds
+	// Regions are the regions of all data centres that the settings list, sorted; empty if they list none.
+	Regions []string
+	Bounds  Bounds
 }
 
 // Bounds are the limits that the operators set for the fleet. The field names are written to the log.
