Admit a call with the route and account of one version

Cause: admission looks up route and account separately. If a version that moves a restriction from the account to the route takes effect in between, the call gets the former route and the new account and is not restricted, although both versions restrict it.

Change: after authentication, before a token is taken, a call whose version is no longer in force is admitted again.

Result: TestACallHasTheRouteAndAccountOfOneVersion failed before (no regions) and passes. Each call with a key compares the version once more.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -109,6 +109,10 @@
 		if ref != nil {
 			return cal, nil, ref
 		}
+		// The regions of a route and an account of different versions may restrict a call less than either version does.
+		if adm.Configuration().Version != cfg.Version {
+			return adm.Admit(ctx, req)
+		}
 		// The fence is checked after the configuration was read, so that a process that was suspended in between
 		// does not use an outdated configuration.
 		if ref := adm.CheckFence(); ref != nil {
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -83,3 +83,30 @@
 		require.Equal(t, test.expected, cal.Regions)
 	}
 }
+
+// Guards against a call that takes its route from one version of the configuration and its account from the next. Here
+// both versions restrict the call, one by the route and the other by the account.
+func TestACallHasTheRouteAndAccountOfOneVersion(t *testing.T) {
+	regions := []string{"s"}
+	cfg := &configuration.Configuration{Version: 1}
+	rou, acc := route.Route{}, clientaccount.ClientAccount{Name: "a", Regions: regions}
+	tokens := 0
+	adm := &admission.Admission{
+		Configuration: func() *configuration.Configuration { return cfg },
+		FindRoute: func(request.Request) (route.Route, bool) {
+			found := rou
+			if cfg.Version == 1 {
+				cfg = &configuration.Configuration{Version: 2}
+				rou.Regions, acc.Regions = regions, nil
+			}
+			return found, true
+		},
+		Authenticate: func(string) (clientaccount.ClientAccount, string, *refusal.Refusal) { return acc, "k", nil },
+		CheckFence:   func() *refusal.Refusal { return nil },
+		TakeToken:    func(context.Context, string) *refusal.Refusal { tokens++; return nil },
+	}
+	cal, _, ref := adm.Admit(t.Context(), request.Request{})
+	require.Nil(t, ref)
+	require.Equal(t, regions, cal.Regions)
+	require.Equal(t, 1, tokens)
+}
