Keep the regions of crash records that are cleared or merged

Cause: a record whose crashes had expired lost its regions when a call with its fingerprint was answered, and was then sent to all nodes. An imported record of an earlier crash replaced the regions of the last one, so that a restricted record lost its restriction or another one got it.

Change: an expired record keeps its regions, and a crash sets them only if no other crash of the record is later.

Result: TestAnExpiredRecordKeepsItsRegionsWhenItIsCleared and TestAnImportedRecordChangesTheRegionsOnlyByALaterCrash failed before and pass with the race detector, as do the tests of gate, crashlink and hostnode.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -54,13 +54,7 @@
 
 // RecordCrash records that a call with a fingerprint may have crashed the backend server.
 func (lis *List) RecordCrash(cra crash.Crash, now time.Time) {
-	lis.update(cra.Fingerprint, now, false, func(sus *suspect) bool {
-		added := lis.addCrash(sus, cra, now)
-		if added {
-			sus.regions = cra.Regions
-		}
-		return added
-	})
+	lis.update(cra.Fingerprint, now, false, func(sus *suspect) bool { return lis.addCrash(sus, cra, now) })
 }
 
 // Clear discards the crashes of a fingerprint after a call with it ran to its end. Without crashes there is nothing to
@@ -152,13 +146,15 @@
 func (lis *List) Import(records []record.Record, now time.Time) {
 	for _, rec := range records {
 		lis.update(rec.Fingerprint, now, true, func(sus *suspect) bool {
+			if sus.lastChange().IsZero() {
+				// A record without crashes has regions too.
+				sus.regions = rec.Regions
+			}
 			changed := sus.clear(rec.Cleared)
 			for _, cra := range rec.Crashes {
+				cra.Regions = rec.Regions
 				changed = lis.addCrash(sus, cra, now) || changed
 			}
-			if changed {
-				sus.regions = rec.Regions
-			}
 			return changed
 		})
 	}
@@ -168,7 +164,7 @@
 func (lis *List) update(fingerprint uint64, now time.Time, imported bool, apply func(sus *suspect) bool) {
 	sus, found := lis.entries[fingerprint]
 	if found && lis.expired(sus, now) {
-		sus = suspect{}
+		sus = suspect{regions: sus.regions}
 	}
 	if !apply(&sus) {
 		return
@@ -184,12 +180,16 @@
 	}
 }
 
-// addCrash adds a crash to the record of its fingerprint, and reports whether it counts and is new.
+// addCrash adds a crash to the record of its fingerprint, and reports whether it counts and is new. The record gets the
+// crash's regions if no other crash is later.
 func (lis *List) addCrash(sus *suspect, cra crash.Crash, now time.Time) bool {
 	known := slices.ContainsFunc(sus.crashes, func(other crash.Crash) bool { return other.ID == cra.ID })
 	if known || !cra.At.After(sus.cleared) || now.Sub(cra.At) >= lis.retention() {
 		return false
 	}
+	if !cra.At.Before(sus.lastChange()) {
+		sus.regions = cra.Regions
+	}
 	kept := sus.crashes[max(0, len(sus.crashes)+1-maxCrashes):]
 	sus.crashes = append(slices.Clone(kept), cra)
 	return true
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -152,3 +152,34 @@
 		require.Equal(t, []string{"s"}, exported(second)[0].Regions)
 	})
 }
+
+// Guards against a record of a restricted call that loses its restriction when a call is answered after the crashes have
+// expired: the record would be sent to all nodes.
+func TestAnExpiredRecordKeepsItsRegionsWhenItIsCleared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lis := quarantine.New(time.Minute)
+		lis.RecordCrash(crash.Crash{ID: uuid.New(), Fingerprint: 7, At: time.Now(), Regions: []string{"r"}}, time.Now())
+		time.Sleep(time.Hour)
+		lis.Clear(7, time.Now())
+		require.Len(t, exported(lis), 1)
+		require.Equal(t, []string{"r"}, exported(lis)[0].Regions)
+	})
+}
+
+// Guards against a late record of an earlier crash whose regions replace those of the last one, and against a cleared
+// record without a restriction on a node that did not have it before.
+func TestAnImportedRecordChangesTheRegionsOnlyByALaterCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second, newcomer := quarantine.New(time.Minute), quarantine.New(time.Minute), quarantine.New(time.Minute)
+		recordCrash(first, 7)
+		time.Sleep(time.Second)
+		second.RecordCrash(crash.Crash{ID: uuid.New(), Fingerprint: 7, At: time.Now(), Regions: []string{"r"}}, time.Now())
+		pass(first, second)
+		require.Len(t, exported(second)[0].Crashes, 2)
+		require.Equal(t, []string{"r"}, exported(second)[0].Regions)
+		time.Sleep(time.Second)
+		second.Clear(7, time.Now())
+		pass(second, newcomer)
+		require.Equal(t, []string{"r"}, exported(newcomer)[0].Regions)
+	})
+}
