--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -41,6 +41,8 @@
 	crashes []crash.Crash
 	// cleared is the last time that a call with the fingerprint ran to its end; earlier crashes do not count.
 	cleared time.Time
+	// regions are those of the last crash, as in record.Record.
+	regions []string
 	// revision is the list's revision at the last change, and localRevision that at the last change that was not imported.
 	revision, localRevision uint64
 }
@@ -135,7 +137,7 @@
 	records := make([]record.Record, 0, len(changed))
 	for _, fin := range changed {
 		sus := lis.entries[fin]
-		records = append(records, record.Record{Fingerprint: fin, Crashes: sus.crashes, Cleared: sus.cleared})
+		records = append(records, record.Record{Fingerprint: fin, Crashes: sus.crashes, Cleared: sus.cleared, Regions: sus.regions})
 	}
 	return records, upTo
 }
@@ -144,8 +146,13 @@
 func (lis *List) Import(records []record.Record, now time.Time) {
 	for _, rec := range records {
 		lis.update(rec.Fingerprint, now, true, func(sus *suspect) bool {
+			if sus.lastChange().IsZero() {
+				// A record without crashes has regions too.
+				sus.regions = rec.Regions
+			}
 			changed := sus.clear(rec.Cleared)
 			for _, cra := range rec.Crashes {
+				cra.Regions = rec.Regions
 				changed = lis.addCrash(sus, cra, now) || changed
 			}
 			return changed
@@ -157,7 +164,7 @@
 func (lis *List) update(fingerprint uint64, now time.Time, imported bool, apply func(sus *suspect) bool) {
 	sus, found := lis.entries[fingerprint]
 	if found && lis.expired(sus, now) {
-		sus = suspect{}
+		sus = suspect{regions: sus.regions}
 	}
 	if !apply(&sus) {
 		return
@@ -173,12 +180,16 @@
 	}
 }
 
-// addCrash adds a crash to the record of its fingerprint, and reports whether it counts and is new.
+// addCrash adds a crash to the record of its fingerprint, and reports whether it counts and is new. The record gets the
+// crash's regions if no other crash is later.
 func (lis *List) addCrash(sus *suspect, cra crash.Crash, now time.Time) bool {
 	known := slices.ContainsFunc(sus.crashes, func(other crash.Crash) bool { return other.ID == cra.ID })
 	if known || !cra.At.After(sus.cleared) || now.Sub(cra.At) >= lis.retention() {
 		return false
 	}
+	if !cra.At.Before(sus.lastChange()) {
+		sus.regions = cra.Regions
+	}
 	kept := sus.crashes[max(0, len(sus.crashes)+1-maxCrashes):]
 	sus.crashes = append(slices.Clone(kept), cra)
 	return true
