Pace the calls to a cold backend server

A backend server that has just started, or that has become cold again, crashes when it receives many more requests in a second than it can handle. The gate admitted as many calls as there were slots.

The gate asks core/coldpacer before a call takes a slot. The pacer keeps the sustained rate at the cold rate and every window of 1.1 s a quarter below the bound, including the calls from before the server became cold. The chart coldStart tracks what heartbeats, the start time and assumptions say. Nodes announce the cold rate of their server as part of their member entry, and each ingress node sends it only its own part.

--- a/cmd/flamingoreach-host/command/command.go
+++ b/cmd/flamingoreach-host/command/command.go
@@ -119,6 +119,9 @@
 	store.OnUnknownKind = func(kind, route string) {
 		logger.Warn("unknown kind of route, its requests run at most once", "kind", kind, "firstRoute", route)
 	}
+	store.OnInvalidService = func(service string, err error) {
+		logger.Warn("value of a service ignored", "service", service, "error", err)
+	}
 	pool := http1.NewPool(backendDialTimeout)
 	pool.Room = room.New(set.MemoryBytes / roomDivisor)
 	bodies := room.New(set.MemoryBytes / bodiesDivisor)
@@ -142,6 +145,7 @@
 		},
 		Announcements: &platform.AnnouncementHandler{
 			Service: set.Service, ReceiveAnnouncement: nod.ReceiveAnnouncement, Deregister: nod.DeregisterBackendServer, OnInvalidHeartbeat: nod.LogInvalidHeartbeat,
+			OnIgnoredField: nod.LogIgnoredField,
 		},
 		Ready: platform.ReadinessHandler(nod.AcceptsCalls),
 	})
--- a/core/announcement/announcement.go
+++ b/core/announcement/announcement.go
@@ -22,6 +22,9 @@
 	State string `json:"state"`
 	// Started is when the process started.
 	Started time.Time `json:"started"`
+	// ColdFor is the time for which the backend server remains cold, if ColdKnown is set.
+	ColdFor   time.Duration `json:"coldFor,omitempty"`
+	ColdKnown bool          `json:"coldKnown,omitempty"`
 }
 
 // SameProcess reports whether two announcements come from the same process.
--- /dev/null
+++ b/core/backendservice/doc.go
@@ -0,0 +1,2 @@
+// Package backendservice describes a service as the configuration holds it.
+package backendservice
--- a/core/configuration/configuration.go
+++ b/core/configuration/configuration.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"flamingoreach/core/backendservice"
 	"flamingoreach/core/clientaccount"
 	"flamingoreach/core/mechanism"
 	"flamingoreach/core/route"
@@ -17,6 +18,8 @@
 	PatchID  string
 	Routes   []route.Route
 	Accounts []clientaccount.ClientAccount
+	// Services holds what is stated about the backend servers of services; a service may be missing.
+	Services []backendservice.Service
 	// RetryAllowance is the number of extra attempts for a root call with its whole tree.
 	RetryAllowance int
 	// RetryBudgetRatio is the number of retries that each success earns at a node.
@@ -46,5 +49,15 @@
 	}
 }
 
+// Service returns what is stated about the backend servers of a service, or only the name if nothing is.
+func (cfg *Configuration) Service(name string) backendservice.Service {
+	for _, ser := range cfg.Services {
+		if ser.Name == name {
+			return ser
+		}
+	}
+	return backendservice.Service{Name: name}
+}
+
 // Uses reports whether a mechanism is on.
 func (cfg *Configuration) Uses(mec mechanism.Mechanism) bool { return !slices.Contains(cfg.Off, mec) }
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -90,7 +90,13 @@
 	// serviceTime is the moving average of the time that calls take to run.
 	serviceTime time.Duration
 	// idle is nil until Drain is called, and is closed when no call runs or waits.
-	idle       chan struct{}
+	idle chan struct{}
+	// pace and paceRate are nil unless SetPace has set them. pacedUntil is the time until which pace has held up calls, and
+	// paceTimer is set while a timer is to dispatch the waiting calls at that time.
+	pace       func(now time.Time) time.Duration
+	paceRate   func(now time.Time) (rate float64, cold bool)
+	pacedUntil time.Time
+	paceTimer  *time.Timer
 	executed   uint64
 	duplicates uint64
 	// deaths counts the deaths of the backend server's process, unattributed those without suspects.
--- a/core/gate/run.go
+++ b/core/gate/run.go
@@ -117,11 +117,14 @@
 	if !now.Before(cal.Deadline) {
 		return nil, refusal.NotRun(reason.DeadlineExceeded, "gate.enter")
 	}
-	if gat.hasFreeSlot(cal.Depth > 0, now) && gat.queue.Ahead(cal.Priority) == 0 {
+	if gat.hasFreeSlot(cal.Depth > 0, now) && gat.queue.Ahead(cal.Priority) == 0 && gat.takePace(now) {
 		gat.takeSlot(cal.Depth > 0, now)
 		gat.standingDelay.Observe(0)
 		return nil, nil
 	}
+	if ref := gat.refusalWhenPaced(cal, now); ref != nil {
+		return nil, ref
+	}
 	if cal.RefuseWhenFull {
 		return nil, acceptableElsewhere(reason.SlotsInUse, "gate.enter")
 	}
@@ -139,6 +142,7 @@
 	case refused != nil:
 		refused.Ready <- overloaded(reason.Shed, "gate.displace")
 	}
+	gat.startPaceTimer(now)
 	return wai, nil
 }
 
@@ -181,6 +185,9 @@
 func (gat *Gate) abandonWait(cal call.Call, wai *queue.Waiter, why reason.Reason) *refusal.Refusal {
 	gat.mut.Lock()
 	removed := gat.queue.Remove(wai)
+	if why == reason.QueueTimeout && gat.paced(time.Now()) {
+		why = reason.BackendServerCold
+	}
 	gat.signalIdle()
 	gat.mut.Unlock()
 	if !removed {
@@ -189,7 +196,7 @@
 		}
 		gat.releaseUnusedSlot(cal)
 	}
-	if why == reason.QueueTimeout {
+	if why == reason.QueueTimeout || why == reason.BackendServerCold {
 		return overloaded(why, "gate.await")
 	}
 	return refusal.NotRun(why, "gate.await")
@@ -199,6 +206,11 @@
 func (gat *Gate) queueWait(cal call.Call) time.Duration {
 	gat.mut.Lock()
 	defer gat.mut.Unlock()
+	return gat.longestWait(cal)
+}
+
+// longestWait is queueWait for a caller that holds the mutex.
+func (gat *Gate) longestWait(cal call.Call) time.Duration {
 	if cal.QueueWait > 0 {
 		return min(cal.QueueWait, gat.policy.QueueWait)
 	}
@@ -294,7 +306,7 @@
 		if !gat.hasFreeSlot(true, now) {
 			return
 		}
-		wai := gat.queue.Pop(!gat.hasFreeSlot(false, now))
+		wai := gat.next(!gat.hasFreeSlot(false, now), now)
 		if wai == nil {
 			return
 		}
@@ -338,6 +350,9 @@
 		ans.AdmissionLevel = gat.admissionLevel.Value()
 	}
 	ans.Load = float64(gat.slotsInUse+gat.queue.Len()) / float64(gat.limit())
+	if gat.paced(time.Now()) {
+		ans.Load = max(ans.Load, 1)
+	}
 	return ans
 }
 
--- a/core/localserver/server.go
+++ b/core/localserver/server.go
@@ -31,6 +31,8 @@
 	Crash func()
 	// OnAlive, if set, is called when another announcement of the same process shows that it runs.
 	OnAlive func()
+	// OnAccepted, if set, is called with each announcement that is used, before the gate is opened or closed by it.
+	OnAccepted func(ann announcement.Announcement)
 	// OnChange is called with each new state and the latest announcement.
 	OnChange func(state string, ann announcement.Announcement)
 	// DoubtFirst makes the gate stay closed until a process has announced itself twice, for the first process since the
@@ -87,6 +89,9 @@
 	restarted := ser.state != Absent && another
 	ser.latest = ann
 	ser.lastAnnounced = time.Now()
+	if ser.OnAccepted != nil {
+		ser.OnAccepted(ann)
+	}
 	switch {
 	case restarted:
 		ser.fire("restarted")
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -24,6 +25,9 @@
 	Slots int `json:"slots" cbor:"8,keyasint,omitempty"`
 	// Started is when the node started, by its own clock.
 	Started time.Time `json:"started" cbor:"9,keyasint"`
+	// ColdRate is the number of calls per second that the backend server can handle while it is cold, and 0 if it is not
+	// cold or its calls are not paced.
+	ColdRate float64 `json:"coldRate,omitempty" cbor:"10,keyasint,omitempty"`
 }
 
 const (
@@ -46,6 +50,8 @@
 		return eris.New("member: the data centre is missing")
 	case mem.Slots < 0 || mem.Slots > MaxSlots:
 		return eris.Errorf("member: %d slots", mem.Slots)
+	case mem.ColdRate < 0 || math.IsInf(mem.ColdRate, 0) || math.IsNaN(mem.ColdRate):
+		return eris.Errorf("member: cold rate %g", mem.ColdRate)
 	case mem.Incarnation > maxIncarnation:
 		return eris.Errorf("member: incarnation %d", mem.Incarnation)
 	}
--- a/core/membership/list.go
+++ b/core/membership/list.go
@@ -170,6 +170,17 @@
 	lis.notifyDataCentres()
 }
 
+// ColdRateChanged announces the rate of calls that this node's backend server can handle while it is cold, or 0 if it is not
+// cold, to other nodes if it has changed.
+func (lis *List) ColdRateChanged(rate float64) {
+	if lis.leaving || lis.self.member.ColdRate == rate {
+		return
+	}
+	lis.begin()
+	lis.announce(func(mem *member.Member) { mem.ColdRate = rate })
+	lis.notifyDataCentres()
+}
+
 // Leave announces that this node leaves the fleet; Tick must still be called until LeaveAnnounced returns true.
 func (lis *List) Leave() {
 	lis.begin()
--- a/core/pick/expectedlatency.go
+++ b/core/pick/expectedlatency.go
@@ -119,6 +119,8 @@
 	failureRate float64
 	// lastResort is set if the member is ejected or refuses all calls; it is chosen only if no other member is left.
 	lastResort bool
+	// cold is set if the member is cold and has received this node's part of the calls that it can handle.
+	cold bool
 }
 
 // estimates returns the estimates for all candidates at the present time.
@@ -127,15 +129,15 @@
 	estimates := make([]estimate, 0, len(candidates))
 	for index := range candidates {
 		mem := &candidates[index]
-		est := pic.observe(mem.ID).estimate(route, now)
+		est := pic.observe(mem.ID).estimate(route, pic.coldRate(mem.ColdRate), now)
 		est.member, est.distance = mem, pic.distance(*mem)
 		estimates = append(estimates, est)
 	}
 	return estimates
 }
 
-// cost returns the time that the call is expected to take, raised by the factors for distance and failures, and by an
-// hour for a member of last resort; assumed is used if the member's latency is unknown.
+// cost returns the time that the call is expected to take, raised by the factors for distance and failures, by an
+// hour for a member of last resort and by coldPenalty for one that is cold; assumed is used if the member's latency is unknown.
 func (est *estimate) cost(assumed time.Duration) time.Duration {
 	latency := est.latency
 	if latency == 0 {
@@ -148,11 +150,14 @@
 	if est.lastResort {
 		cost += time.Hour
 	}
+	if est.cold {
+		cost += coldPenalty
+	}
 	return cost
 }
 
-// estimate returns the estimate for the member, without member and distance.
-func (obs *observation) estimate(route string, now time.Time) estimate {
+// estimate returns the estimate for the member, without member and distance. The cold rate is this node's part of it.
+func (obs *observation) estimate(route string, coldRate float64, now time.Time) estimate {
 	obs.mut.Lock()
 	defer obs.mut.Unlock()
 	est := estimate{
@@ -163,6 +168,7 @@
 		est.latency = known.latency
 	}
 	est.overdue = obs.overdue(now)
+	est.cold = obs.cold.usedUp(coldRate, now, obs.pic.random)
 	return est
 }
 
--- a/core/pick/observation.go
+++ b/core/pick/observation.go
@@ -76,6 +76,7 @@
 	routes map[string]routeLatency
 	// slowest is the latency of the member's slowest route.
 	slowest routeLatency
+	cold    coldShare
 }
 
 type levelReport struct {
@@ -149,6 +150,7 @@
 		obs.silentSince = time.Now()
 	}
 	obs.inFlight++
+	obs.cold.sent()
 }
 
 func (obs *observation) answered(account string, ans answer.Answer, elapsed time.Duration) {
@@ -160,6 +162,9 @@
 	obs.silentSince = obs.reported
 	obs.levels[account] = levelReport{level: ans.AdmissionLevel, at: obs.reported}
 	if ans.Refusal != nil {
+		if ans.Refusal.Reason == reason.BackendServerCold {
+			obs.cold.refusedUntil = obs.reported.Add(coldRefusalTime)
+		}
 		if keyowner.RefusesAllCalls(ans.Refusal.Reason) {
 			obs.unavailableUntil = obs.reported.Add(unavailableTime)
 		}
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -27,6 +27,8 @@
 	self         locality.Locality
 	observations sync.Map
 	ejections    atomic.Uint64
+	// callers is the number of nodes among which the cold rates of members are divided.
+	callers atomic.Int64
 }
 
 // New returns a picker for a node in the given region and data centre.
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -26,6 +26,7 @@
 	length      int
 	bound       int
 	waiting     int
+	deeper      int
 	pops        int
 	virtualTime float64
 	accounts    map[string]*accountQueue
@@ -41,6 +42,9 @@
 // Len returns the number of waiting calls.
 func (que *Queue) Len() int { return que.waiting }
 
+// Deeper returns the number of waiting deeper calls.
+func (que *Queue) Deeper() int { return que.deeper }
+
 // Bound returns the number of waiting calls up to which the queue takes calls beyond their account's guaranteed places;
 // the gate lowers it while queueing delay persists.
 func (que *Queue) Bound() int { return que.bound }
@@ -119,9 +123,9 @@
 	return displaced
 }
 
-// Pop removes and returns the waiter that is next in order, or nil. With onlyDeeper it skips the accounts whose most
-// important waiter is not a deeper call.
-func (que *Queue) Pop(onlyDeeper bool) *Waiter {
+// Next returns the waiter that is next in order, or nil. With onlyDeeper it skips the accounts whose most important waiter
+// is not a deeper call.
+func (que *Queue) Next(onlyDeeper bool) *Waiter {
 	fairTurn := (que.pops+1)%fairTurnInterval == 0
 	var best *Waiter
 	for _, acq := range que.active {
@@ -133,6 +137,12 @@
 			best = wai
 		}
 	}
+	return best
+}
+
+// Pop removes and returns the waiter that Next returns.
+func (que *Queue) Pop(onlyDeeper bool) *Waiter {
+	best := que.Next(onlyDeeper)
 	if best == nil {
 		return nil
 	}
@@ -152,6 +162,9 @@
 	acq := wai.fifo.owner
 	wai.fifo.remove(wai)
 	que.waiting--
+	if wai.Deeper {
+		que.deeper--
+	}
 	acq.waiting--
 	if acq.waiting == 0 {
 		at := slices.Index(que.active, acq)
@@ -230,6 +243,9 @@
 	fif.add(wai)
 	acq.waiting++
 	que.waiting++
+	if wai.Deeper {
+		que.deeper++
+	}
 }
 
 // advanceVirtualTime moves the queue's virtual time to that of the account that is furthest behind, so that an
--- a/core/reason/reason.go
+++ b/core/reason/reason.go
@@ -46,6 +46,8 @@
 	Draining          Reason = "draining"
 	Quarantined       Reason = "quarantined"
 	BackendServerDown Reason = "backendServerDown"
+	// BackendServerCold means that the backend server is cold and has received as many calls as it can handle meanwhile.
+	BackendServerCold Reason = "backendServerCold"
 	// BackendServerFailed means that the connection to the backend server failed after the call was sent.
 	BackendServerFailed Reason = "backendServerFailed"
 	// BackendServerError means that the backend server answered an idempotent call with an error of its own.
--- a/io/hostnode/configuration.go
+++ b/io/hostnode/configuration.go
@@ -90,6 +90,7 @@
 	nod.splitter.RetainRoutes(cfg.Routes)
 	nod.versionAppliedAt.Store(time.Now().UnixNano())
 	nod.view.Store(nod.view.Load().WithConfiguration(cfg, dir))
+	nod.configurePace()
 	nod.log.Info("configuration in force", "version", cfg.Version, "source", source, "routes", len(cfg.Routes), "accounts", len(cfg.Accounts))
 	nod.spreadVersion(source == "store")
 }
--- a/io/hostnode/members.go
+++ b/io/hostnode/members.go
@@ -88,6 +88,7 @@
 			inRegion++
 		}
 	}
+	nod.picker.SetCallers(inRegion)
 	nod.linkBudget.SetLink(float64(nod.settings.LinkBytes), inRegion)
 	nod.view.Store(vie.WithMembers(nod.members.Self(), members))
 }
--- a/io/hostnode/node.go
+++ b/io/hostnode/node.go
@@ -12,6 +12,7 @@
 	"flamingoreach/core/admission"
 	"flamingoreach/core/announcement"
 	"flamingoreach/core/attempt"
+	"flamingoreach/core/coldpacer"
 	"flamingoreach/core/configurationfeed"
 	"flamingoreach/core/control"
 	"flamingoreach/core/fleetretrybudget"
@@ -92,6 +93,7 @@
 	dispatcher  *dispatcher.Dispatcher
 	tasks       *tasks.Tasks
 	gate        *gate.Gate
+	pacer       *coldpacer.Pacer
 	picker      *pick.Picker
 	runner      *attempt.Runner
 	admission   *admission.Admission
@@ -125,6 +127,8 @@
 	crashLink   *crashlink.Link
 	// hostsSeenAt maps the address of each host to the time at which it was last a live member.
 	hostsSeenAt map[netip.AddrPort]time.Time
+	// coldState is the state of the chart coldStart that was last logged.
+	coldState string
 	// processorUsed is the processor time of this process when it was last read.
 	processorUsed time.Duration
 	// nextVersionAsk is when the next random node is asked for its version.
@@ -141,6 +145,7 @@
 		control:     control.New(eventQueueLength),
 		tasks:       tasks.New(taskLimit),
 		gate:        gate.New(gatePolicy(0)),
+		pacer:       coldpacer.New(),
 		picker:      pick.New(locality.Locality{Region: set.Region, DataCentre: set.DataCentre}),
 		splitter:    splitter.New(),
 		shares:      tokenshare.New(set.Peers),
@@ -207,6 +212,16 @@
 	nod.metrics.Gauge("gate_deaths", func() float64 { return float64(nod.gate.Stats().Deaths) })
 	nod.metrics.Gauge("gate_unattributed_deaths", func() float64 { return float64(nod.gate.Stats().UnattributedDeaths) })
 	nod.metrics.Gauge("gate_quarantined", func() float64 { return float64(nod.gate.Stats().Quarantined) })
+	nod.metrics.Gauge("gate_cold", func() float64 {
+		if _, cold := nod.pacer.Rate(time.Now()); cold {
+			return 1
+		}
+		return 0
+	})
+	nod.metrics.Gauge("gate_pace", func() float64 {
+		rate, _ := nod.pacer.Rate(time.Now())
+		return rate
+	})
 	nod.metrics.Gauge("crash_sends_failed", func() float64 { return float64(nod.crashLink.FailedSends()) })
 	nod.metrics.Gauge("ejections", func() float64 { return float64(nod.picker.Ejections()) })
 	nod.metrics.Gauge("members", func() float64 { return float64(len(nod.view.Load().Members)) })
--- a/io/hostnode/reload.go
+++ b/io/hostnode/reload.go
@@ -1,6 +1,9 @@
 package hostnode
 
-import "flamingoreach/io/hostsettings"
+import (
+	"flamingoreach/io/dispatcher"
+	"flamingoreach/io/hostsettings"
+)
 
 // Reload applies changed settings as far as a running process can, and logs whether others need a restart; it may be
 // called at any time.
@@ -8,6 +11,7 @@
 	former := nod.bounds.Swap(&set.Bounds)
 	setMemoryLimit(set.MemoryBytes)
 	nod.retryBudget.SetBounds(set.Bounds.RepeatRatio, set.Bounds.RepeatSlack)
+	nod.control.Offer(dispatcher.Event("pace.configured", nil, nod.configurePace))
 	nod.log.Info("settings reloaded", "bounds", set.Bounds, "formerBounds", *former, "memoryBytes", set.MemoryBytes,
 		"needsRestart", nod.needsRestart(set))
 }
--- a/io/hostnode/server.go
+++ b/io/hostnode/server.go
@@ -67,6 +67,10 @@
 		nod.crashLink.Send()
 		nod.platform.CloseIdle()
 	}
+	nod.localServer.OnAccepted = func(ann announcement.Announcement) {
+		nod.pacer.Announced(ann)
+		nod.updateColdState()
+	}
 	nod.localServer.OnAlive = nod.gate.ConfirmAlive
 	nod.localServer.DoubtFirst = true
 	nod.gate.OnDeath = func(dea death.Death) {
@@ -80,6 +84,7 @@
 		}
 	}
 	nod.control.AddTicker(nod.localServer.Tick)
+	nod.control.AddTicker(nod.updateColdState)
 	lastSweep := time.Now()
 	nod.control.AddTicker(func() {
 		if time.Since(lastSweep) >= sweepInterval {
@@ -130,6 +135,7 @@
 	if latest := nod.backend.Load(); latest == nil || !latest.SameProcess(ann) {
 		return
 	}
+	nod.pacer.AssumeCold()
 	nod.gate.Crashed()
 	nod.control.Offer(dispatcher.Event("localServer.broken", nil, func() {
 		if nod.localServer.Latest().SameProcess(ann) {
--- a/io/hostsettings/settings.go
+++ b/io/hostsettings/settings.go
@@ -48,4 +48,8 @@
 	StopTime time.Duration
 	// ConfigurationTime is the time within which an accepted configuration version must take effect.
 	ConfigurationTime time.Duration
+	// A cold backend server may receive ColdFactor times its cold rate plus ColdSlack requests in a second. A ColdFactor of
+	// 0 means that there is no such bound.
+	ColdFactor float64
+	ColdSlack  float64
 }
