--- a/core/gate/pace.go
+++ b/core/gate/pace.go
@@ -33,15 +33,18 @@
 // paced reports whether the pace holds up calls.
 func (gat *Gate) paced(now time.Time) bool { return gat.pace != nil && now.Before(gat.pacedUntil) }
 
-// refusalWhenPaced returns the refusal of a call that the pace holds up, or nil if it may wait for its turn. A call whose
-// turn would come too late is refused at once, so that it can go elsewhere in time.
-func (gat *Gate) refusalWhenPaced(cal call.Call, now time.Time) *refusal.Refusal {
+// refusalWhenFull returns the refusal of a call that cannot run at once, or nil if it may wait. A call that the pace holds up
+// and whose turn would come too late is refused at once, so that it can go elsewhere in time.
+func (gat *Gate) refusalWhenFull(cal call.Call, now time.Time) *refusal.Refusal {
 	const step = "gate.pace"
-	if !gat.paced(now) {
-		return nil
-	}
-	if cal.RefuseWhenFull {
+	paced := gat.paced(now)
+	switch {
+	case cal.RefuseWhenFull && paced:
 		return acceptableElsewhere(reason.BackendServerCold, step)
+	case cal.RefuseWhenFull:
+		return acceptableElsewhere(reason.SlotsInUse, "gate.enter")
+	case !paced:
+		return nil
 	}
 	longest := min(gat.longestWait(cal), cal.Deadline.Sub(now))
 	turn := gat.pacedUntil.Sub(now)
--- a/core/gate/pace_test.go
+++ b/core/gate/pace_test.go
@@ -214,3 +214,35 @@
 		require.Len(t, ser.arrived, 5)
 	})
 }
+
+// Guards against a jump of the load when many servers become warm at the same moment.
+func TestManyServersThatBecomeWarmAtOnceTakeTheirLoadGradually(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const count, rate, interval = 20, 200, 100 * time.Millisecond
+		began := time.Now()
+		var surges sync.WaitGroup
+		servers := make([]*coldServer, count)
+		for index := range servers {
+			servers[index] = newColdServer()
+			servers[index].report(began, 1, coldStart)
+			surges.Go(func() { servers[index].surge(rate, coldStart+2*time.Second, mayQueueOrNot) })
+		}
+		surges.Wait()
+		arrived := make([]int, int((coldStart+2*time.Second)/interval))
+		for _, ser := range servers {
+			ser.calls.Wait()
+			for _, at := range ser.arrived {
+				if index := int(at.Sub(began) / interval); index < len(arrived) {
+					arrived[index]++
+				}
+			}
+		}
+		// All servers together get 16 calls in an interval at the cold rate and 400 when they are warm.
+		warm := int(coldStart / interval)
+		require.LessOrEqual(t, arrived[warm], 60, "at the end of the cold time")
+		for index := warm + 1; index < warm+10; index++ {
+			require.LessOrEqual(t, arrived[index], 3*max(arrived[index-1], count), "interval %d of %v", index, arrived)
+		}
+		require.GreaterOrEqual(t, arrived[len(arrived)-1], count*int(rate*interval/time.Second))
+	})
+}
--- a/core/gate/run.go
+++ b/core/gate/run.go
@@ -122,12 +122,9 @@
 		gat.standingDelay.Observe(0)
 		return nil, nil
 	}
-	if ref := gat.refusalWhenPaced(cal, now); ref != nil {
+	if ref := gat.refusalWhenFull(cal, now); ref != nil {
 		return nil, ref
 	}
-	if cal.RefuseWhenFull {
-		return nil, acceptableElsewhere(reason.SlotsInUse, "gate.enter")
-	}
 	if gat.policy.On(gatepolicy.AdmissionLevel) && !gat.admissionLevel.Admits(cal.Priority) && gat.queue.UsesUpGuaranteedPlaces(cal.Account) {
 		return nil, overloaded(reason.AdmissionLevel, "gate.enter")
 	}
--- a/core/localserver/server.go
+++ b/core/localserver/server.go
@@ -31,7 +31,7 @@
 	Crash func()
 	// OnAlive, if set, is called when another announcement of the same process shows that it runs.
 	OnAlive func()
-	// OnAccepted, if set, is called with each announcement that is used, before the gate is opened or closed by it.
+	// OnAccepted is called with each announcement that is used, before the gate is opened or closed by it.
 	OnAccepted func(ann announcement.Announcement)
 	// OnChange is called with each new state and the latest announcement.
 	OnChange func(state string, ann announcement.Announcement)
@@ -66,7 +66,9 @@
 	})
 
 // New returns a server that has not announced itself.
-func New() *Server { return &Server{state: chart.Initial(), leftAt: map[string]time.Time{}} }
+func New() *Server {
+	return &Server{state: chart.Initial(), leftAt: map[string]time.Time{}, OnAccepted: func(announcement.Announcement) {}}
+}
 
 // State returns the state of the chart localServer.
 func (ser *Server) State() string { return ser.state }
@@ -89,9 +91,7 @@
 	restarted := ser.state != Absent && another
 	ser.latest = ann
 	ser.lastAnnounced = time.Now()
-	if ser.OnAccepted != nil {
-		ser.OnAccepted(ann)
-	}
+	ser.OnAccepted(ann)
 	switch {
 	case restarted:
 		ser.fire("restarted")
--- a/soak/crash.go
+++ b/soak/crash.go
@@ -15,6 +15,8 @@
 	crashPath = "/quotes/crash-"
 	// backendDownTime is the time until a crashed backend server is back.
 	backendDownTime = time.Second
+	// backendColdTime is how long a backend server is cold after its start.
+	backendColdTime = 1500 * time.Millisecond
 	// A crashing request is sent crashSends times, crashPause apart, each time at a random host. The last sends come later
 	// than crashContactTime after the third.
 	crashSends = 24
--- a/soak/host.go
+++ b/soak/host.go
@@ -67,6 +67,10 @@
 	hos.backend = &standin.BackendServer{
 		Service: service, Address: netip.AddrPortFrom(address, backendPort), Announcements: netip.AddrPortFrom(address, controlPort), OnExecute: fleet.ledger.recordExecution,
 		ListenAddress: netip.AddrPortFrom(address, backendPort+linkedPortOffset), CrashPath: crashPath, DownTime: backendDownTime,
+		ColdTime: backendColdTime, ColdBound: standin.ColdBound,
+		OnColdExcess: func(id string) {
+			fleet.ledger.addViolation("cold", "%s was above the bound of a cold backend server of %s", id, service)
+		},
 	}
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", netip.AddrPortFrom(address, storePort+linkedPortOffset).String())
 	if err != nil {
