Log no cold state before it changes

A node without a cold rate logged once at its start that its backend server is warm. The state that was last logged now begins as warm. Tests of cold backend servers in io/hostnode pass.

--- a/io/hostnode/node.go
+++ b/io/hostnode/node.go
@@ -145,7 +145,7 @@
 		control:     control.New(eventQueueLength),
 		tasks:       tasks.New(taskLimit),
 		gate:        gate.New(gatePolicy(0)),
-		pacer:       coldpacer.New(),
+		pacer:       coldpacer.New(), coldState: coldpacer.Warm,
 		picker:      pick.New(locality.Locality{Region: set.Region, DataCentre: set.DataCentre}),
 		splitter:    splitter.New(),
 		shares:      tokenshare.New(set.Peers),
