--- a/io/hostnode/node.go
+++ b/io/hostnode/node.go
@@ -145,7 +145,7 @@
 		control:     control.New(eventQueueLength),
 		tasks:       tasks.New(taskLimit),
 		gate:        gate.New(gatePolicy(0)),
-		pacer:       coldpacer.New(), coldState: coldpacer.Warm,
+		pacer:       coldpacer.New(),
 		picker:      pick.New(locality.Locality{Region: set.Region, DataCentre: set.DataCentre}),
 		splitter:    splitter.New(),
 		shares:      tokenshare.New(set.Peers),
@@ -158,6 +158,7 @@
 		localServer: localserver.New(),
 		feed:        configurationfeed.New(),
 		hostsSeenAt: map[netip.AddrPort]time.Time{},
+		coldState:   coldpacer.Warm,
 		ready:       make(chan struct{}),
 	}
 	requestsEnd, endRequests := context.WithCancel(context.Background())
