Let calls queue at the last warm member

Cause: a full warm member refused each call while a cold member of the region was untried. The cold one, chosen last, has room for about as many waiting calls as it takes in a second, so calls failed that had a place in the warm member's queue.

Change: an untried cold member no longer keeps a call from the queue of a warm one.

Result: TestACallQueuesAtTheLastWarmMember fails before the change and passes after it; tests of core/pick pass with the race detector.

--- a/core/pick/cold_test.go
+++ b/core/pick/cold_test.go
@@ -103,6 +103,18 @@
 	})
 }
 
+// Guards against calls that a full warm member refuses although they could wait there, because a cold member is untried: only a
+// few of them could wait at that one, and the others would fail.
+func TestACallQueuesAtTheLastWarmMember(t *testing.T) {
+	pic, members := newPicker(), serviceMembers(3, 1)
+	require.True(t, pic.RefuseWhenFull(members[1], members, []string{"m1"}), "another warm member is untried")
+	require.False(t, pic.RefuseWhenFull(members[2], members, []string{"m1", "m2"}), "only a cold member is untried")
+	require.True(t, pic.RefuseWhenFull(members[0], members, []string{"m0", "m1"}), "a cold member does not queue before a warm one")
+	members = serviceMembers(2, 2)
+	require.True(t, pic.RefuseWhenFull(members[0], members, []string{"m0"}), "another cold member is untried")
+	require.False(t, pic.RefuseWhenFull(members[1], members, []string{"m0", "m1"}))
+}
+
 // Guards against a node that goes on sending calls to a member which refuses them as cold, before it knows so as a member.
 func TestARefusalAsColdCountsForAMoment(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/core/pick/expectedlatency.go
+++ b/core/pick/expectedlatency.go
@@ -76,7 +76,8 @@
 // RefuseWhenFull reports whether a member's gate must refuse the call rather than queue it if the call would have to
 // wait for a slot; tried lists the IDs of the members to which attempts were sent, this one included. That is so while
 // other members of this node's region are untried, and for every member of another region if this one has any, because
-// traffic between regions is expensive. So a call queues at the last member tried in this region.
+// traffic between regions is expensive. So a call queues at the last member tried in this region. Untried cold members do
+// not keep a call from the queue of a warm one, because only a few calls can wait at a cold member.
 func (pic *Picker) RefuseWhenFull(mem member.Member, candidates []member.Member, tried []string) bool {
 	near := false
 	for _, other := range candidates {
@@ -84,7 +85,7 @@
 			continue
 		}
 		near = true
-		if !slices.Contains(tried, other.ID) {
+		if (other.ColdRate == 0 || mem.ColdRate > 0) && !slices.Contains(tried, other.ID) {
 			return true
 		}
 	}
