Stop the timer of a former pace

Cause: a timer that was set for the cold pace, up to 1.1 s ahead, stayed set when the pace rose, and the gate sets no second one. Calls that waited at a gate whose backend server warms up waited for it, or until their time was over, unless another call ended.

Change: SetPace stops the timer, so that the dispatch sets one for the present pace. A timer that has already fired and waits for the lock does nothing once it is replaced.

Result: two calls that may run after 50 ms ran after 700 ms before the change (TestAFasterPaceDoesNotWaitForTheTimerOfTheFormerOne) and run after 50 ms now; tests of core/gate pass with the race detector.

--- a/core/gate/pace.go
+++ b/core/gate/pace.go
@@ -17,6 +17,11 @@
 	gat.mut.Lock()
 	defer gat.mut.Unlock()
 	gat.pace, gat.paceRate, gat.pacedUntil = take, rate, time.Time{}
+	// The timer was set by the former pace; the present one may let calls run earlier.
+	if gat.paceTimer != nil {
+		gat.paceTimer.Stop()
+		gat.paceTimer = nil
+	}
 	gat.dispatch()
 }
 
@@ -85,11 +90,16 @@
 	if gat.paceTimer != nil || gat.queue.Len() == 0 || !gat.paced(now) {
 		return
 	}
-	gat.paceTimer = time.AfterFunc(gat.pacedUntil.Sub(now), func() {
+	var timer *time.Timer
+	timer = time.AfterFunc(gat.pacedUntil.Sub(now), func() {
 		gat.mut.Lock()
 		defer gat.mut.Unlock()
+		if gat.paceTimer != timer {
+			return
+		}
 		gat.paceTimer = nil
 		gat.dispatch()
 		gat.signalIdle()
 	})
+	gat.paceTimer = timer
 }
--- a/core/gate/pace_test.go
+++ b/core/gate/pace_test.go
@@ -201,6 +201,24 @@
 	})
 }
 
+// Guards against a timer of the former pace, up to a second long, that holds up the waiting calls of a server which warms up.
+func TestAFasterPaceDoesNotWaitForTheTimerOfTheFormerOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ser := newColdServer()
+		rate := func(time.Time) (float64, bool) { return coldRate, true }
+		paceFrom := func(from time.Time) func(now time.Time) time.Duration {
+			return func(now time.Time) time.Duration { return max(0, from.Sub(now)) }
+		}
+		began := time.Now()
+		ser.gate.SetPace(paceFrom(began.Add(700*time.Millisecond)), rate)
+		ser.surge(1000, 2*time.Millisecond, unchanged)
+		ser.gate.SetPace(paceFrom(began.Add(50*time.Millisecond)), rate)
+		ser.calls.Wait()
+		require.Empty(t, ser.refused)
+		require.Equal(t, []time.Time{began.Add(50 * time.Millisecond), began.Add(50 * time.Millisecond)}, ser.arrived)
+	})
+}
+
 // Guards against a planned stop that waits for calls which the pace holds up for too long, or loses them.
 func TestADrainEndsThePacedCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
