--- a/core/pick/expectedlatency.go
+++ b/core/pick/expectedlatency.go
@@ -76,7 +76,8 @@
 // RefuseWhenFull reports whether a member's gate must refuse the call rather than queue it if the call would have to
 // wait for a slot; tried lists the IDs of the members to which attempts were sent, this one included. That is so while
 // other members of this node's region are untried, and for every member of another region if this one has any, because
-// traffic between regions is expensive. So a call queues at the last member tried in this region.
+// traffic between regions is expensive. So a call queues at the last member tried in this region. Untried cold members do
+// not keep a call from the queue of a warm one, because only a few calls can wait at a cold member.
 func (pic *Picker) RefuseWhenFull(mem member.Member, candidates []member.Member, tried []string) bool {
 	near := false
 	for _, other := range candidates {
@@ -84,7 +85,7 @@
 			continue
 		}
 		near = true
-		if !slices.Contains(tried, other.ID) {
+		if (other.ColdRate == 0 || mem.ColdRate > 0) && !slices.Contains(tried, other.ID) {
 			return true
 		}
 	}
@@ -119,6 +120,8 @@
 	failureRate float64
 	// lastResort is set if the member is ejected or refuses all calls; it is chosen only if no other member is left.
 	lastResort bool
+	// cold is set if the member is cold and has received this node's part of the calls that it can handle.
+	cold bool
 }
 
 // estimates returns the estimates for all candidates at the present time.
@@ -127,15 +130,15 @@
 	estimates := make([]estimate, 0, len(candidates))
 	for index := range candidates {
 		mem := &candidates[index]
-		est := pic.observe(mem.ID).estimate(route, now)
+		est := pic.observe(mem.ID).estimate(route, pic.coldRate(mem.ColdRate), now)
 		est.member, est.distance = mem, pic.distance(*mem)
 		estimates = append(estimates, est)
 	}
 	return estimates
 }
 
-// cost returns the time that the call is expected to take, raised by the factors for distance and failures, and by an
-// hour for a member of last resort; assumed is used if the member's latency is unknown.
+// cost returns the time that the call is expected to take, raised by the factors for distance and failures, by an
+// hour for a member of last resort and by coldPenalty for one that is cold; assumed is used if the member's latency is unknown.
 func (est *estimate) cost(assumed time.Duration) time.Duration {
 	latency := est.latency
 	if latency == 0 {
@@ -148,11 +151,14 @@
 	if est.lastResort {
 		cost += time.Hour
 	}
+	if est.cold {
+		cost += coldPenalty
+	}
 	return cost
 }
 
-// estimate returns the estimate for the member, without member and distance.
-func (obs *observation) estimate(route string, now time.Time) estimate {
+// estimate returns the estimate for the member, without member and distance. The cold rate is this node's part of it.
+func (obs *observation) estimate(route string, coldRate float64, now time.Time) estimate {
 	obs.mut.Lock()
 	defer obs.mut.Unlock()
 	est := estimate{
@@ -163,6 +169,7 @@
 		est.latency = known.latency
 	}
 	est.overdue = obs.overdue(now)
+	est.cold = obs.cold.usedUp(coldRate, now, obs.pic.random)
 	return est
 }
 
--- a/io/hostnode/reload.go
+++ b/io/hostnode/reload.go
@@ -3,6 +3,7 @@
 import (
 	"reflect"
 
+	"flamingoreach/io/dispatcher"
 	"flamingoreach/io/hostsettings"
 )
 
@@ -13,6 +14,7 @@
 	nod.knownRegions.Store(&set.Regions)
 	setMemoryLimit(set.MemoryBytes)
 	nod.retryBudget.SetBounds(set.Bounds.RepeatRatio, set.Bounds.RepeatSlack)
+	nod.control.Offer(dispatcher.Event("pace.configured", nil, nod.configurePace))
 	nod.log.Info("settings reloaded", "bounds", set.Bounds, "formerBounds", *former, "memoryBytes", set.MemoryBytes,
 		"needsRestart", nod.needsRestart(set))
 }
