Evacuate data centres by the operators' rows

Cause: nodes know nothing of a data centre that operators evacuate, so that its backend servers go on to receive requests.

Change: the feed reads the rows op/evacuate/... and keeps the list by the position in the store; nodes pass it on with the requests for versions. A call that waited at a gate that closes asks the members again that it had left for it.

--- a/cmd/flamingoreach-host/command/command.go
+++ b/cmd/flamingoreach-host/command/command.go
@@ -119,6 +119,7 @@
 	store.OnUnknownKind = func(kind, route string) {
 		logger.Warn("unknown kind of route, its requests run at most once", "kind", kind, "firstRoute", route)
 	}
+	store.OnSkippedRow = func(key string, err error) { logger.Warn("evacuation ignored", "key", key, "error", err) }
 	pool := http1.NewPool(backendDialTimeout)
 	pool.Room = room.New(set.MemoryBytes / roomDivisor)
 	bodies := room.New(set.MemoryBytes / bodiesDivisor)
--- a/core/attempt/runner.go
+++ b/core/attempt/runner.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/google/uuid"
+
 	"flamingoreach/charts"
 	"flamingoreach/core/allowance"
 	"flamingoreach/core/answer"
@@ -23,6 +26,11 @@
 	// Choose returns the member for the next attempt, and false if none is left; tried lists the IDs of the members to
 	// which earlier attempts of the call were sent.
 	Choose func(cal call.Call, candidates []member.Member, tried []string) (member.Member, bool)
+	// WhyNone, if set, returns the reason for which a call has no candidates; without it the reason is
+	// reason.NoBackendServer.
+	WhyNone func(cal call.Call) reason.Reason
+	// NewID, if set, returns the ID for a call that asks members again, see noteRefusal.
+	NewID func() uuid.UUID
 	// OnSend is called before each attempt. One of the other three is called when the attempt ends: OnAnswer with the
 	// answer or refusal of the member, OnLost if no valid answer came, OnCancel if the call was cancelled before.
 	OnSend   func(id string)
@@ -55,7 +63,11 @@
 	send       func(ctx context.Context, mem member.Member, cal call.Call) (answer.Answer, error)
 	candidates []member.Member
 	// tried lists the IDs of the members to which attempts were sent, in order.
-	tried   []string
+	tried []string
+	// full lists those of them that refused the call only because it would have had to wait.
+	full []string
+	// moved is set once the call has left a data centre that is evacuated.
+	moved   bool
 	chosen  member.Member
 	result  answer.Answer
 	refusal *refusal.Refusal
@@ -117,7 +129,7 @@
 	mem, found := pro.runner.Choose(pro.cal, pro.candidates, pro.tried)
 	if !found {
 		if pro.refusal == nil {
-			pro.refusal = refusal.NotRun(reason.NoBackendServer, "choose backend server")
+			pro.refusal = refusal.NotRun(pro.whyNone(), "choose backend server")
 			pro.refusal.RetryAfter = time.Second
 		}
 		return "noneLeft"
@@ -126,6 +138,14 @@
 	return "chosen"
 }
 
+// whyNone returns the reason for which no member can be asked.
+func (pro *progress) whyNone() reason.Reason {
+	if len(pro.candidates) == 0 && pro.runner.WhyNone != nil {
+		return pro.runner.WhyNone(pro.cal)
+	}
+	return reason.NoBackendServer
+}
+
 // sendOnce makes one attempt and sets the chart's next event by its result.
 func (pro *progress) sendOnce() {
 	pro.tried = append(pro.tried, pro.chosen.ID)
@@ -146,9 +166,29 @@
 	pro.runner.OnAnswer(pro.chosen.ID, cal.Account, ans, time.Since(started))
 	pro.result = ans
 	pro.refusal = ans.Refusal
+	pro.noteRefusal()
 	pro.setEvent()
 }
 
+// noteRefusal lets a call that waited at a gate whose data centre is then evacuated ask, once, the members again that it
+// left for that gate because it would have had to wait there. Members that are new since the call began count too. The call
+// gets another ID, because a gate does not run an ID that it has refused: a late delivery of it must not run.
+func (pro *progress) noteRefusal() {
+	switch {
+	case pro.refusal == nil:
+	case pro.refusal.Reason == reason.SlotsInUse:
+		pro.full = append(pro.full, pro.chosen.ID)
+	case pro.refusal.Reason == reason.DataCentreEvacuated && !pro.moved:
+		pro.moved = true
+		pro.candidates = pro.runner.Candidates(pro.cal)
+		if len(pro.full) == 0 || pro.runner.NewID == nil {
+			return
+		}
+		pro.cal.ID = pro.runner.NewID()
+		pro.tried = slices.DeleteFunc(pro.tried, func(id string) bool { return slices.Contains(pro.full, id) })
+	}
+}
+
 // setEvent sets the chart's next event by the refusal of the last attempt, nil if it was answered.
 func (pro *progress) setEvent() {
 	switch {
--- a/core/call/call.go
+++ b/core/call/call.go
@@ -31,6 +31,8 @@
 	RequestID string `json:"requestId,omitempty"`
 	// CallerService is the service of the host on which the call was made; empty for callers that are not on hosts.
 	CallerService string `json:"callerService,omitempty"`
+	// CallerDataCentre is the data centre of the node that makes the attempt; empty if it does not say.
+	CallerDataCentre string `json:"callerDataCentre,omitempty"`
 	// QueueWait limits the time that the call waits in a gate's queue; 0 means the gate's own limit, which also applies
 	// if it is shorter.
 	QueueWait time.Duration `json:"queueWait,omitempty"`
--- a/core/configurationfeed/feed.go
+++ b/core/configurationfeed/feed.go
@@ -8,6 +8,8 @@
 	"flamingoreach/charts"
 	"flamingoreach/core/configuration"
 	"flamingoreach/core/configurationfeed/reading"
+	"flamingoreach/core/evacuation"
+	"flamingoreach/core/evacuation/record"
 	"flamingoreach/core/machine"
 )
 
@@ -34,15 +36,20 @@
 	// the two.
 	OnUnreachable func(err error)
 	OnReachable   func(after time.Duration)
+	// OnEvacuation is called with the evacuated data centres when they are first known and when they have changed. For one
+	// answer of the store it is called before Publish.
+	OnEvacuation func(eva evacuation.Evacuation, source string)
 	// Random returns a number from 0 to 1.
 	Random func() float64
 
 	state    string
 	revision uint64
 	current  *configuration.Configuration
-	answer   reading.Reading
-	err      error
-	due      time.Time
+	// evacuations is what is known of the evacuated data centres.
+	evacuations *record.Record
+	answer      reading.Reading
+	err         error
+	due         time.Time
 	// followedAt is when the pending request of Follow was sent, confirmedAt when the store last answered.
 	followedAt, confirmedAt time.Time
 	pause                   time.Duration
@@ -65,7 +72,11 @@
 	})
 
 // New returns a feed that knows no version.
-func New() *Feed { return &Feed{state: chart.Initial(), Random: rand.Float64} }
+func New() *Feed {
+	fee := &Feed{state: chart.Initial(), Random: rand.Float64, OnEvacuation: func(evacuation.Evacuation, string) {}, evacuations: record.New()}
+	fee.evacuations.OnChange = func(eva evacuation.Evacuation, source string) { fee.OnEvacuation(eva, source) }
+	return fee
+}
 
 // Version returns the number of the version in force, or 0.
 func (fee *Feed) Version() uint64 {
@@ -92,16 +103,27 @@
 	return now
 }
 
-// Tick sends a request to the store when one is due.
+// Evacuations returns the latest evacuations that were read from the store, by this node or another one, and false if none
+// are known.
+func (fee *Feed) Evacuations() (evacuation.Evacuation, bool) { return fee.evacuations.Latest() }
+
+// Tick sends a request to the store when one is due, and ends evacuations of earlier eras of the store.
 func (fee *Feed) Tick() {
+	fee.evacuations.Tick()
 	if !time.Now().Before(fee.due) {
 		fee.fire("due")
 	}
 }
 
-// HandleAnswer handles the store's answer to the pending request.
+// HandleAnswer handles the store's answer to the pending request. Evacuations in an answer with an error hold: the
+// configuration beside them is invalid.
 func (fee *Feed) HandleAnswer(answer reading.Reading, err error) {
 	fee.answer, fee.err = answer, err
+	if answer.Evacuation != nil {
+		fee.evacuations.Listed(*answer.Evacuation)
+	} else {
+		fee.evacuations.Changed(answer.Position(), answer.EvacuationChanges)
+	}
 	switch {
 	case errors.Is(err, reading.ErrHistoryExpired):
 		fee.fire("expired")
@@ -117,6 +139,9 @@
 // ReceiveVersion accepts a version from another node if it is newer than the one in force.
 func (fee *Feed) ReceiveVersion(cfg *configuration.Configuration) { fee.offer(cfg, "peer") }
 
+// ReceiveEvacuation accepts evacuations from another node if they were read at a later position than the known ones.
+func (fee *Feed) ReceiveEvacuation(eva evacuation.Evacuation) { fee.evacuations.Receive(eva) }
+
 func (fee *Feed) follow() {
 	fee.followedAt = time.Now()
 	fee.Follow(fee.revision)
--- a/core/configurationfeed/reading/reading.go
+++ b/core/configurationfeed/reading/reading.go
@@ -4,6 +4,8 @@
 	"errors"
 
 	"flamingoreach/core/configuration"
+	"flamingoreach/core/evacuation"
+	"flamingoreach/core/evacuation/change"
 	"flamingoreach/core/storeposition"
 )
 
@@ -18,6 +20,11 @@
 	Revision uint64
 	// Era is the store's era at the answer, see storeposition.Position.
 	Era uint64
+	// Evacuation holds the evacuated data centres at the position of the answer; it is nil unless the store listed all rows.
+	Evacuation *evacuation.Evacuation
+	// EvacuationChanges holds the changes of evacuations since the requested revision, in their order, if the store was asked
+	// for changes.
+	EvacuationChanges []change.Change
 }
 
 // Position returns the position in the store of which the answer tells.
--- /dev/null
+++ b/core/evacuation/change/doc.go
@@ -0,0 +1,2 @@
+// Package change describes a change of one row that evacuates a data centre.
+package change
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -70,9 +70,11 @@
 	// meanwhile, so it must not be called.
 	OnDeath func(dea death.Death)
 
-	mut     sync.Mutex
-	policy  gatepolicy.Policy
-	state   string
+	mut    sync.Mutex
+	policy gatepolicy.Policy
+	state  string
+	// closed is the reason for which all calls are refused, whatever the state, or empty.
+	closed  reason.Reason
 	queue   *queue.Queue
 	running map[*execution]struct{}
 	// slotsInUse includes the slots of calls that are admitted but do not run yet.
@@ -155,6 +157,19 @@
 // Crashed reports that the backend server's process died: running calls become suspects, waiting calls are refused.
 func (gat *Gate) Crashed() { gat.SetState(Down) }
 
+// SetClosed closes the gate for a reason, or opens it again with reason.None. While it is closed it refuses all calls,
+// waiting ones at once, as not run and acceptable elsewhere; running calls end. The state of the backend server changes
+// independently of that.
+func (gat *Gate) SetClosed(why reason.Reason) {
+	gat.mut.Lock()
+	defer gat.mut.Unlock()
+	gat.closed = why
+	if why != reason.None {
+		gat.refuseAllWaiting(overloaded(why, "gate.closed"))
+		gat.signalIdle()
+	}
+}
+
 // Drain stops the admission of calls for good and waits until the admitted ones have ended. If the context ends
 // first, it returns the context's error.
 func (gat *Gate) Drain(ctx context.Context) error {
@@ -195,8 +210,14 @@
 func (gat *Gate) fire(event string) { gat.state = gateMachine.Fire(gat, gat.state, event) }
 
 func (gat *Gate) refuseWaiting() {
+	gat.refuseAllWaiting(acceptableElsewhere(reason.BackendServerDown, "gate.crashed"))
+}
+
+// refuseAllWaiting gives each waiting call a copy of a refusal, since the call's own side may change it.
+func (gat *Gate) refuseAllWaiting(ref *refusal.Refusal) {
 	for wai := gat.queue.Pop(false); wai != nil; wai = gat.queue.Pop(false) {
-		wai.Ready <- acceptableElsewhere(reason.BackendServerDown, "gate.crashed")
+		own := *ref
+		wai.Ready <- &own
 	}
 }
 
--- a/core/gate/run.go
+++ b/core/gate/run.go
@@ -91,9 +91,11 @@
 		return refusal.NotRun(reason.DeadlineExceeded, step)
 	}
 	gat.mut.Lock()
-	down, quarantined := gat.state == Down, gat.quarantined(cal, now)
+	down, closed, quarantined := gat.state == Down, gat.closed, gat.quarantined(cal, now)
 	gat.mut.Unlock()
 	switch {
+	case closed != reason.None:
+		return overloaded(closed, step)
 	case down:
 		return acceptableElsewhere(reason.BackendServerDown, step)
 	case quarantined:
@@ -144,6 +146,9 @@
 
 // refusalInState returns the refusal of all calls if the gate's state admits none, otherwise nil.
 func (gat *Gate) refusalInState() *refusal.Refusal {
+	if gat.closed != reason.None {
+		return overloaded(gat.closed, "gate.enter")
+	}
 	switch gat.state {
 	case Draining:
 		return acceptableElsewhere(reason.Draining, "gate.enter")
--- a/core/keyowner/owners.go
+++ b/core/keyowner/owners.go
@@ -40,7 +40,11 @@
 // RefusesAllCalls reports whether a refusal with this reason means that the member refuses all calls for now. If it is
 // the owner of a key, another member may then act for it.
 func RefusesAllCalls(why reason.Reason) bool {
-	return why == reason.Draining || why == reason.BackendServerDown
+	switch why {
+	case reason.Draining, reason.BackendServerDown, reason.DataCentreEvacuated, reason.EvacuationUnknown:
+		return true
+	}
+	return false
 }
 
 // Of returns the owner of a call's key among the members of its service, and false if there are none.
--- a/core/pick/expectedlatency.go
+++ b/core/pick/expectedlatency.go
@@ -119,16 +119,20 @@
 	failureRate float64
 	// lastResort is set if the member is ejected or refuses all calls; it is chosen only if no other member is left.
 	lastResort bool
+	// heldBack is set if the member's data centre returns to service and does not get this call yet.
+	heldBack bool
 }
 
 // estimates returns the estimates for all candidates at the present time.
 func (pic *Picker) estimates(route string, candidates []member.Member) []estimate {
 	now := time.Now()
+	holdsBack := pic.holdsBack(now)
 	estimates := make([]estimate, 0, len(candidates))
 	for index := range candidates {
 		mem := &candidates[index]
 		est := pic.observe(mem.ID).estimate(route, now)
 		est.member, est.distance = mem, pic.distance(*mem)
+		est.heldBack = holdsBack != nil && holdsBack(mem)
 		estimates = append(estimates, est)
 	}
 	return estimates
@@ -148,6 +152,9 @@
 	if est.lastResort {
 		cost += time.Hour
 	}
+	if est.heldBack {
+		cost += heldBackCost
+	}
 	return cost
 }
 
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -27,6 +27,8 @@
 	self         locality.Locality
 	observations sync.Map
 	ejections    atomic.Uint64
+	// returns maps each data centre whose load returns after an evacuation to its return; nil if there is none.
+	returns atomic.Pointer[map[string]dataCentreReturn]
 }
 
 // New returns a picker for a node in the given region and data centre.
--- a/core/reason/reason.go
+++ b/core/reason/reason.go
@@ -46,6 +46,11 @@
 	Draining          Reason = "draining"
 	Quarantined       Reason = "quarantined"
 	BackendServerDown Reason = "backendServerDown"
+	// DataCentreEvacuated means that the operators evacuate the data centre of the backend server, or those of all backend
+	// servers of the service.
+	DataCentreEvacuated Reason = "dataCentreEvacuated"
+	// EvacuationUnknown means that the node has just started and does not know yet which data centres are evacuated.
+	EvacuationUnknown Reason = "evacuationUnknown"
 	// BackendServerFailed means that the connection to the backend server failed after the call was sent.
 	BackendServerFailed Reason = "backendServerFailed"
 	// BackendServerError means that the backend server answered an idempotent call with an error of its own.
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -1,8 +1,11 @@
 package view
 
 import (
+	"slices"
+
 	"flamingoreach/core/configuration"
 	"flamingoreach/core/directory"
+	"flamingoreach/core/evacuation"
 	"flamingoreach/core/keyowner"
 	"flamingoreach/core/member"
 )
@@ -15,6 +18,8 @@
 	// Self is this node's own entry.
 	Self    member.Member
 	Members []member.Member
+	// Evacuation holds the data centres whose members take no new work.
+	Evacuation evacuation.Evacuation
 
 	// Owners holds the owners of idempotency keys of this node's own service.
 	Owners *keyowner.Owners
@@ -26,19 +31,32 @@
 
 // New returns a view; the arguments must not be changed afterwards.
 func New(cfg *configuration.Configuration, dir *directory.Directory, self member.Member, members []member.Member) *View {
+	return build(cfg, dir, self, members, evacuation.Evacuation{})
+}
+
+func build(cfg *configuration.Configuration, dir *directory.Directory, self member.Member, members []member.Member, eva evacuation.Evacuation) *View {
 	vie := &View{
-		Configuration: cfg, Directory: dir, Self: self, Members: members, Owners: &keyowner.Owners{},
+		Configuration: cfg, Directory: dir, Self: self, Members: members, Evacuation: eva, Owners: &keyowner.Owners{},
 		serving: map[string][]member.Member{}, all: map[string][]member.Member{},
 	}
 	for _, mem := range members {
 		vie.all[mem.Service] = append(vie.all[mem.Service], mem)
-		if mem.State == "serving" || mem.State == "warming" {
+		if takesWork(mem) && !eva.Includes(mem.DataCentre) {
 			vie.serving[mem.Service] = append(vie.serving[mem.Service], mem)
 		}
 	}
 	return vie
 }
 
+func takesWork(mem member.Member) bool { return mem.State == "serving" || mem.State == "warming" }
+
+// IsEvacuated reports whether members of a service take no new work only because their data centres are evacuated.
+func (vie *View) IsEvacuated(service string) bool {
+	return slices.ContainsFunc(vie.all[service], func(mem member.Member) bool {
+		return takesWork(mem) && vie.Evacuation.Includes(mem.DataCentre)
+	})
+}
+
 // Serving returns the members of a service that take new work.
 func (vie *View) Serving(service string) []member.Member { return vie.serving[service] }
 
@@ -67,7 +85,14 @@
 // WithMembers returns a copy with other members. Members of this node's own service that are lost are kept in the
 // record of key owners.
 func (vie *View) WithMembers(self member.Member, members []member.Member) *View {
-	next := New(vie.Configuration, vie.Directory, self, members)
+	next := build(vie.Configuration, vie.Directory, self, members, vie.Evacuation)
 	next.Owners = vie.Owners.WithMembers(next.All(self.Service))
 	return next
 }
+
+// WithEvacuation returns a copy with other evacuated data centres.
+func (vie *View) WithEvacuation(eva evacuation.Evacuation) *View {
+	next := build(vie.Configuration, vie.Directory, vie.Self, vie.Members, eva)
+	next.Owners = vie.Owners
+	return next
+}
--- a/io/hostnode/calls.go
+++ b/io/hostnode/calls.go
@@ -43,12 +43,15 @@
 // the peer server that calls need.
 func (nod *Node) setUpCalls() {
 	nod.runner = &attempt.Runner{
-		Candidates: func(cal call.Call) []member.Member { return nod.view.Load().Serving(cal.Service) },
+		Candidates: nod.candidates,
+		WhyNone:    nod.whyNone,
+		NewID:      uuid.New,
 		Choose:     nod.picker.ChooseByExpectedLatency,
 		OnSend:     nod.picker.RecordSent,
 		OnAnswer: func(id, account string, ans answer.Answer, elapsed time.Duration) {
 			nod.picker.RecordAnswer(id, account, ans, elapsed)
 			nod.metrics.ObserveAttempt(elapsed)
+			nod.recordEvacuatedAnswer(id, ans)
 		},
 		OnLost:     nod.picker.RecordLost,
 		OnCancel:   nod.picker.RecordCancelled,
@@ -154,6 +157,7 @@
 
 // send makes one attempt of a call, at this node's gate or at another node's.
 func (nod *Node) send(ctx context.Context, mem member.Member, cal call.Call, msg message.Message) (answer.Answer, message.Message, error) {
+	cal.CallerDataCentre = nod.settings.DataCentre
 	if mem.ID == nod.id {
 		ans, reply := nod.runAtGate(ctx, cal, msg)
 		return ans, reply, nil
@@ -172,6 +176,7 @@
 		ref.Elsewhere = true
 		return answer.Answer{CallID: cal.ID, AllowanceLeft: cal.Allowance, Refusal: ref}, message.Message{}
 	}
+	nod.recordLateCall(cal)
 	ans, payload := nod.gate.Run(ctx, cal, func(ctx context.Context) (answer.Answer, any) {
 		ann := nod.backend.Load()
 		if ann == nil {
@@ -214,6 +219,9 @@
 		"version", nod.version(), "versionAge", time.Since(time.Unix(0, nod.versionAppliedAt.Load())).Round(time.Millisecond),
 		"members", len(nod.view.Load().Serving(cal.Service)),
 	}
+	if eva := nod.view.Load().Evacuation; len(eva.DataCentres) > 0 {
+		fields = append(fields, "evacuated", eva.DataCentres)
+	}
 	if ref := ans.Refusal; ref != nil {
 		out, dec = ref.Outcome, nod.refusedLog
 		nod.metrics.CountRefusal(layer, ref.Reason)
--- a/io/hostnode/configuration.go
+++ b/io/hostnode/configuration.go
@@ -9,6 +9,7 @@
 	"flamingoreach/core/configuration"
 	"flamingoreach/core/configurationfeed/reading"
 	"flamingoreach/core/directory"
+	"flamingoreach/core/evacuation"
 	"flamingoreach/core/followers/confirmation"
 	"flamingoreach/core/member"
 	"flamingoreach/io/dispatcher"
@@ -33,18 +34,21 @@
 )
 
 // versionRequest asks a node for a newer version than the sender's. It carries the sender's version, its address, at which
-// the receiver can ask for that version in turn, and the latest confirmation that the sender knows of.
+// the receiver can ask for that version in turn, the latest confirmation that the sender knows of, and the evacuations that
+// it knows. These are short, so that the receiver need not ask for them.
 type versionRequest struct {
 	Version      uint64                    `json:"version" cbor:"1,keyasint"`
 	Peer         netip.AddrPort            `json:"peer" cbor:"2,keyasint"`
 	Confirmation confirmation.Confirmation `json:"confirmation" cbor:"3,keyasint"`
+	Evacuation   *evacuation.Evacuation    `json:"evacuation,omitempty" cbor:"4,keyasint,omitempty"`
 }
 
-// versionAnswer holds the version in force, or nil if it is not newer than that of the request, and the latest confirmation
-// that the answering node knows of.
+// versionAnswer holds the version in force, or nil if it is not newer than that of the request, the latest confirmation
+// that the answering node knows of, and its evacuations, or nil if they are not newer than those of the request.
 type versionAnswer struct {
 	Configuration *configuration.Configuration `json:"configuration,omitempty" cbor:"1,keyasint,omitempty"`
 	Confirmation  confirmation.Confirmation    `json:"confirmation" cbor:"2,keyasint"`
+	Evacuation    *evacuation.Evacuation       `json:"evacuation,omitempty" cbor:"3,keyasint,omitempty"`
 }
 
 // setUpConfiguration connects the configuration feed with the store and the other nodes.
@@ -114,7 +118,7 @@
 // tickVersions asks one other node for its version at regular intervals.
 func (nod *Node) tickVersions() {
 	if now := time.Now(); !now.Before(nod.nextVersionAsk) {
-		nod.nextVersionAsk = now.Add(nod.askInterval())
+		nod.nextVersionAsk = now.Add(nod.exchangeInterval())
 		nod.versionConfirmedAt.Store(now.Add(-nod.confirmation().Age).UnixNano())
 		nod.askRandomMember()
 	}
@@ -148,7 +152,7 @@
 
 func (nod *Node) askVersionOf(address netip.AddrPort) {
 	asked := time.Now()
-	req := versionRequest{Version: nod.feed.Version(), Peer: nod.self.Peer, Confirmation: nod.confirmation()}
+	req := versionRequest{Version: nod.feed.Version(), Peer: nod.self.Peer, Confirmation: nod.confirmation(), Evacuation: nod.knownEvacuation()}
 	dispatcher.Start(nod.dispatcher, "configuration.heard", askTimeout, func(ctx context.Context) (versionAnswer, error) {
 		return peer.Ask[versionRequest, versionAnswer](ctx, nod.peerClient, address, askVersion, req)
 	}, func(ans versionAnswer, err error) {
@@ -156,6 +160,7 @@
 		if err != nil {
 			return
 		}
+		nod.receiveEvacuation(ans.Evacuation)
 		if ans.Configuration != nil {
 			nod.feed.ReceiveVersion(ans.Configuration)
 		}
@@ -166,6 +171,7 @@
 // answerVersion returns the version in force if it is newer than the sender's. If it is older, this node asks the sender
 // for its version. Until it has that, the sender's confirmation says nothing about its own version.
 func (nod *Node) answerVersion(req versionRequest) versionAnswer {
+	nod.receiveEvacuation(req.Evacuation)
 	own := nod.feed.Version()
 	if own < req.Version {
 		nod.askVersionOf(req.Peer)
@@ -176,6 +182,9 @@
 	if own > req.Version {
 		ans.Configuration = nod.feed.Current()
 	}
+	if eva := nod.knownEvacuation(); eva != nil && (req.Evacuation == nil || req.Evacuation.Position.Before(eva.Position)) {
+		ans.Evacuation = eva
+	}
 	return ans
 }
 
--- a/io/hostnode/fleet_test.go
+++ b/io/hostnode/fleet_test.go
@@ -26,6 +26,8 @@
 	"flamingoreach/core/configuration"
 	"flamingoreach/core/configurationfeed/reading"
 	"flamingoreach/core/crash/record"
+	"flamingoreach/core/evacuation"
+	"flamingoreach/core/evacuation/change"
 	"flamingoreach/core/keyhash"
 	"flamingoreach/core/localserver"
 	"flamingoreach/core/membership/memberrow"
@@ -49,6 +51,11 @@
 	mut     sync.Mutex
 	current configuration.Configuration
 	changed chan struct{}
+	// era and revision are the store's position, evacuated the data centres with a row of an evacuation.
+	era, revision uint64
+	evacuated     []string
+	// evacuations maps the revisions at which a row of an evacuation was created or deleted to that change.
+	evacuations map[uint64]change.Change
 	// rowsDown makes the store refuse all requests for the members' rows.
 	rowsDown atomic.Bool
 	rows     map[string]memberrow.Row
@@ -56,13 +63,42 @@
 }
 
 func newStore(cfg configuration.Configuration) *store {
-	return &store{current: cfg, changed: make(chan struct{}), rows: map[string]memberrow.Row{}, crashes: map[uint64]record.Record{}}
+	return &store{current: cfg, revision: 1, changed: make(chan struct{}), rows: map[string]memberrow.Row{}, evacuations: map[uint64]change.Change{}, crashes: map[uint64]record.Record{}}
 }
 
 func (sto *store) put(cfg configuration.Configuration) {
 	sto.mut.Lock()
 	defer sto.mut.Unlock()
 	sto.current = cfg
+	sto.notify()
+}
+
+// setEvacuated creates or deletes the row that evacuates a data centre.
+func (sto *store) setEvacuated(dataCentre string, evacuated bool) {
+	sto.mut.Lock()
+	defer sto.mut.Unlock()
+	sto.evacuated = slices.DeleteFunc(slices.Clone(sto.evacuated), func(name string) bool { return name == dataCentre })
+	if evacuated {
+		sto.evacuated = append(sto.evacuated, dataCentre)
+	}
+	sto.evacuations[sto.revision+1] = change.Change{DataCentre: dataCentre, Evacuated: evacuated}
+	sto.notify()
+}
+
+// changesSince returns the evacuations that have begun or ended after a revision.
+func (sto *store) changesSince(revision uint64) (changes []change.Change) {
+	sto.mut.Lock()
+	defer sto.mut.Unlock()
+	for _, at := range slices.Sorted(maps.Keys(sto.evacuations)) {
+		if at > revision {
+			changes = append(changes, sto.evacuations[at])
+		}
+	}
+	return changes
+}
+
+func (sto *store) notify() {
+	sto.revision++
 	close(sto.changed)
 	sto.changed = make(chan struct{})
 }
@@ -71,7 +107,10 @@
 	sto.mut.Lock()
 	defer sto.mut.Unlock()
 	cfg := sto.current
-	return reading.Reading{Configuration: &cfg, Revision: cfg.Version}, sto.changed
+	rea := reading.Reading{Configuration: &cfg, Revision: sto.revision, Era: sto.era}
+	listed := evacuation.New(rea.Position(), sto.evacuated...)
+	rea.Evacuation = &listed
+	return rea, sto.changed
 }
 
 // host is one node with a fake backend server.
@@ -113,12 +152,13 @@
 				}
 				rea, changed := sto.read()
 				if rea.Revision > revision {
+					rea.Evacuation, rea.EvacuationChanges = nil, sto.changesSince(revision)
 					return rea, nil
 				}
 				select {
 				case <-changed:
 				case <-timer.C:
-					return reading.Reading{Revision: rea.Revision}, hos.awaitStore(ctx)
+					return reading.Reading{Revision: rea.Revision, Era: rea.Era}, hos.awaitStore(ctx)
 				case <-ctx.Done():
 					return reading.Reading{}, ctx.Err()
 				}
--- a/io/hostnode/node.go
+++ b/io/hostnode/node.go
@@ -14,6 +14,7 @@
 	"flamingoreach/core/attempt"
 	"flamingoreach/core/configurationfeed"
 	"flamingoreach/core/control"
+	"flamingoreach/core/evacuation/tracker"
 	"flamingoreach/core/fleetretrybudget"
 	"flamingoreach/core/followers"
 	"flamingoreach/core/gate"
@@ -58,6 +59,8 @@
 	servedLinesPerSecond  = 2
 	refusedLinesPerSecond = 20
 	gateLinesPerSecond    = 10
+	// evacuationLinesPerSecond bounds the lines about calls to an evacuated data centre. Each also has a line of its refusal.
+	evacuationLinesPerSecond = 2
 )
 
 // Node is the node that runs beside one backend server.
@@ -86,7 +89,13 @@
 	// versionConfirmedAt is when the version in force was last known to be the newest in the store, in the same form.
 	versionConfirmedAt atomic.Int64
 
-	servedLog, refusedLog, gateLog *decisionlog.Log
+	// evacuationSettled is set once it is known which data centres are evacuated, or syncTimeout has passed.
+	evacuationSettled atomic.Bool
+	// evacuatedAnswerAt is when this node last asked a gate that refused a call because of an evacuation for its
+	// evacuations, in nanoseconds of Unix time.
+	evacuatedAnswerAt atomic.Int64
+
+	servedLog, refusedLog, gateLog, evacuationLog *decisionlog.Log
 
 	control     *control.Thread
 	dispatcher  *dispatcher.Dispatcher
@@ -122,7 +131,12 @@
 	memberLink  *memberlink.Link
 	feed        *configurationfeed.Feed
 	followers   *followers.Followers
-	crashLink   *crashlink.Link
+	evacuations *tracker.Tracker
+	// onEvacuationEnded is called when the evacuation of this node's data centre ends, before the gate opens.
+	onEvacuationEnded func()
+	// lastTick is the time of the last tick of the control thread.
+	lastTick  time.Time
+	crashLink *crashlink.Link
 	// hostsSeenAt maps the address of each host to the time at which it was last a live member.
 	hostsSeenAt map[netip.AddrPort]time.Time
 	// processorUsed is the processor time of this process when it was last read.
@@ -135,25 +149,27 @@
 func New(set hostsettings.Settings, pla Platform, logger *log.Logger) *Node {
 	nod := &Node{
 		settings: set, platform: pla, log: logger, id: uuid.NewString(), started: time.Now(),
-		servedLog:   decisionlog.New(logger, servedLinesPerSecond),
-		refusedLog:  decisionlog.New(logger, refusedLinesPerSecond),
-		gateLog:     decisionlog.New(logger, gateLinesPerSecond),
-		control:     control.New(eventQueueLength),
-		tasks:       tasks.New(taskLimit),
-		gate:        gate.New(gatePolicy(0)),
-		picker:      pick.New(locality.Locality{Region: set.Region, DataCentre: set.DataCentre}),
-		splitter:    splitter.New(),
-		shares:      tokenshare.New(set.Peers),
-		retryBudget: fleetretrybudget.New(set.Bounds.RepeatRatio, set.Bounds.RepeatSlack),
-		linkBudget:  linkbudget.New(float64(set.LinkBytes)),
-		metrics:     metricset.New(),
-		gcPacer:     gcpacer.New(set.Cores),
-		peerClient:  peer.NewPooledClient(room.New(set.MemoryBytes / peerRoomDivisor)),
-		peerServer:  peer.NewServer(),
-		localServer: localserver.New(),
-		feed:        configurationfeed.New(),
-		hostsSeenAt: map[netip.AddrPort]time.Time{},
-		ready:       make(chan struct{}),
+		servedLog:     decisionlog.New(logger, servedLinesPerSecond),
+		refusedLog:    decisionlog.New(logger, refusedLinesPerSecond),
+		gateLog:       decisionlog.New(logger, gateLinesPerSecond),
+		evacuationLog: decisionlog.New(logger, evacuationLinesPerSecond),
+		control:       control.New(eventQueueLength),
+		tasks:         tasks.New(taskLimit),
+		gate:          gate.New(gatePolicy(0)),
+		picker:        pick.New(locality.Locality{Region: set.Region, DataCentre: set.DataCentre}),
+		splitter:      splitter.New(),
+		shares:        tokenshare.New(set.Peers),
+		retryBudget:   fleetretrybudget.New(set.Bounds.RepeatRatio, set.Bounds.RepeatSlack),
+		linkBudget:    linkbudget.New(float64(set.LinkBytes)),
+		metrics:       metricset.New(),
+		gcPacer:       gcpacer.New(set.Cores),
+		peerClient:    peer.NewPooledClient(room.New(set.MemoryBytes / peerRoomDivisor)),
+		peerServer:    peer.NewServer(),
+		localServer:   localserver.New(),
+		feed:          configurationfeed.New(),
+		evacuations:   tracker.New(),
+		hostsSeenAt:   map[netip.AddrPort]time.Time{},
+		ready:         make(chan struct{}),
 	}
 	requestsEnd, endRequests := context.WithCancel(context.Background())
 	nod.endRequests = endRequests
@@ -177,6 +193,7 @@
 	nod.setUpCalls()
 	nod.setUpServer()
 	nod.setUpMembers()
+	nod.setUpEvacuation()
 	nod.setUpConfiguration()
 	nod.setUpShares()
 	nod.setUpRuntime()
@@ -195,7 +212,7 @@
 
 // AcceptsCalls reports whether callers on this host should send calls to this node.
 func (nod *Node) AcceptsCalls() bool {
-	return !nod.leaving.Load() && nod.synced.Load() && nod.view.Load().Configuration != nil
+	return !nod.leaving.Load() && nod.synced.Load() && nod.evacuationSettled.Load() && nod.view.Load().Configuration != nil
 }
 
 func (nod *Node) registerGauges() {
--- a/io/hostsettings/settings.go
+++ b/io/hostsettings/settings.go
@@ -48,4 +48,6 @@
 	StopTime time.Duration
 	// ConfigurationTime is the time within which an accepted configuration version must take effect.
 	ConfigurationTime time.Duration
+	// EvacuationTime is the time after which no request may reach the backend servers of an evacuated data centre.
+	EvacuationTime time.Duration
 }
--- a/io/metricset/metricset.go
+++ b/io/metricset/metricset.go
@@ -58,6 +58,12 @@
 	met.count(label{"denied_retries", "ingress", why})
 }
 
+// CountCallToEvacuated counts a call that arrived at the gate of an evacuated data centre, by the data centre of the node
+// that sent it.
+func (met *MetricSet) CountCallToEvacuated(callerDataCentre string) {
+	met.set.GetOrCreateCounter(fmt.Sprintf(`flamingoreach_calls_to_evacuated_total{callerDataCentre=%q}`, callerDataCentre)).Inc()
+}
+
 // CountAnswer counts a complete answer at a layer.
 func (met *MetricSet) CountAnswer(layer string) { met.count(label{"answers", layer, reason.None}) }
 
--- a/io/peer/translate.go
+++ b/io/peer/translate.go
@@ -42,6 +42,7 @@
 		QueueWait:            durationpb.New(cal.QueueWait),
 		AtOnce:               cal.RefuseWhenFull,
 		Host:                 msg.Host,
+		CallerDataCentre:     cal.CallerDataCentre,
 	}
 }
 
@@ -55,23 +56,24 @@
 		return call.Call{}, message.Message{}, err
 	}
 	cal := call.Call{
-		ID:             id,
-		Root:           root,
-		Depth:          int(req.GetDepth()),
-		Service:        req.GetService(),
-		Route:          req.GetRoute(),
-		Account:        req.GetAccount(),
-		KeyID:          req.GetKeyId(),
-		Priority:       int(req.GetPriority()),
-		Idempotent:     req.GetIdempotent(),
-		IdempotencyKey: req.GetIdempotencyKey(),
-		Deadline:       time.Now().Add(req.GetTimeLeft().AsDuration()),
-		Allowance:      int(req.GetAllowance()),
-		Fingerprint:    req.GetFingerprint(),
-		RequestID:      req.GetRequestId(),
-		CallerService:  req.GetCallerService(),
-		QueueWait:      req.GetQueueWait().AsDuration(),
-		RefuseWhenFull: req.GetAtOnce(),
+		ID:               id,
+		Root:             root,
+		Depth:            int(req.GetDepth()),
+		Service:          req.GetService(),
+		Route:            req.GetRoute(),
+		Account:          req.GetAccount(),
+		KeyID:            req.GetKeyId(),
+		Priority:         int(req.GetPriority()),
+		Idempotent:       req.GetIdempotent(),
+		IdempotencyKey:   req.GetIdempotencyKey(),
+		Deadline:         time.Now().Add(req.GetTimeLeft().AsDuration()),
+		Allowance:        int(req.GetAllowance()),
+		Fingerprint:      req.GetFingerprint(),
+		RequestID:        req.GetRequestId(),
+		CallerService:    req.GetCallerService(),
+		CallerDataCentre: req.GetCallerDataCentre(),
+		QueueWait:        req.GetQueueWait().AsDuration(),
+		RefuseWhenFull:   req.GetAtOnce(),
 	}
 	msg := message.Message{Method: req.GetMethod(), Host: req.GetHost(), Target: req.GetTarget(), Header: decodeHeader(req.GetFields()), Body: req.GetBody()}
 	return cal, msg, nil
