--- a/core/configurationfeed/feed_test.go
+++ b/core/configurationfeed/feed_test.go
@@ -12,6 +12,8 @@
 	"flamingoreach/core/configuration"
 	"flamingoreach/core/configurationfeed"
 	"flamingoreach/core/configurationfeed/reading"
+	"flamingoreach/core/evacuation"
+	"flamingoreach/core/evacuation/change"
 )
 
 const longestWait = 4 * time.Second
@@ -159,3 +161,24 @@
 		require.Equal(t, time.Now(), fee.ConfirmedAt())
 	})
 }
+
+// Guards against an evacuation that takes effect later than the version beside it, and against one that is lost because the
+// configuration beside it is invalid.
+func TestEvacuationsAreFollowedBesideTheConfiguration(t *testing.T) {
+	var log []string
+	fee := newFeed(&log)
+	fee.OnEvacuation = func(eva evacuation.Evacuation, source string) { log = append(log, fmt.Sprint(source, eva.DataCentres)) }
+	fee.Tick()
+	listed := version(5, 10)
+	listed.Evacuation = &evacuation.Evacuation{Position: listed.Position()}
+	fee.HandleAnswer(listed, nil)
+	require.Equal(t, []string{"read", "store[]", "store 5", "follow 10"}, take(&log))
+	changed := reading.Reading{Revision: 12, EvacuationChanges: []change.Change{{DataCentre: "a", Evacuated: true}}}
+	fee.HandleAnswer(changed, errors.New("the configuration is invalid"))
+	require.Equal(t, []string{"store[a]", "lost"}, take(&log))
+	fee.ReceiveEvacuation(evacuation.New(listed.Position()))
+	require.Empty(t, log, "an older list")
+	eva, known := fee.Evacuations()
+	require.True(t, known)
+	require.Equal(t, changed.Position(), eva.Position)
+}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -37,6 +37,8 @@
 	// was written.
 	moves   int
 	movedAt time.Time
+	// evacuatedAt maps each evacuated data centre to the time at which the store acknowledged its row.
+	evacuatedAt map[string]time.Time
 	// keys are valid; withdrawnKeys were valid in earlier versions.
 	keys          []key
 	withdrawnKeys []key
@@ -61,7 +63,8 @@
 func newFleet(ctx context.Context, program, folder string, number, size int) (*Fleet, error) {
 	fle := &Fleet{
 		number: number, folder: folder, program: program, store: standin.NewStore(), ledger: newLedger(), movedAt: time.Now(),
-		keys: []key{{text: "key-one-of-bank-a", granted: time.Now()}, {text: "key-two-of-bank-a", granted: time.Now()}},
+		evacuatedAt: map[string]time.Time{},
+		keys:        []key{{text: "key-one-of-bank-a", granted: time.Now()}, {text: "key-two-of-bank-a", granted: time.Now()}},
 	}
 	fle.writeConfiguration()
 	for index := range size {
--- a/soak/host.go
+++ b/soak/host.go
@@ -33,14 +33,16 @@
 
 // host is one node process with its backend server and its own endpoint of the store.
 type host struct {
-	name     string
-	address  netip.Addr
-	callers  netip.AddrPort
-	folder   string
-	program  string
-	endpoint *standin.Endpoint
-	backend  *standin.BackendServer
-	ledger   *ledger
+	name string
+	// dataCentre is the data centre in the node's settings.
+	dataCentre string
+	address    netip.Addr
+	callers    netip.AddrPort
+	folder     string
+	program    string
+	endpoint   *standin.Endpoint
+	backend    *standin.BackendServer
+	ledger     *ledger
 
 	mut    sync.Mutex
 	node   *process.Process
@@ -48,7 +50,9 @@
 	// lastFault is the time of the last start, of the last signal, or at which a fault of the store last began or ended
 	// at this host. Other faults are not recorded.
 	lastFault time.Time
-	servers   []*http.Server
+	// lastStoreFault is the time at which a fault of the store, or of the link to it, last began or ended.
+	lastStoreFault time.Time
+	servers        []*http.Server
 	// stopBackend ends the backend server, whose error then arrives on backendEnded.
 	stopBackend  context.CancelFunc
 	backendEnded chan error
@@ -61,11 +65,14 @@
 	address := netip.AddrFrom4([4]byte{127, byte(10 + fleet.number), 1, byte(number + 1)})
 	service := services[number%len(services)]
 	hos := &host{
-		name: fmt.Sprintf("host%d", number), address: address, callers: netip.AddrPortFrom(address, callersPort+linkedPortOffset),
+		name: fmt.Sprintf("host%d", number), dataCentre: dataCentreOf(number), address: address, callers: netip.AddrPortFrom(address, callersPort+linkedPortOffset),
 		folder: fleet.folder, program: fleet.program, endpoint: fleet.store.NewEndpoint(), ledger: fleet.ledger,
 	}
 	hos.backend = &standin.BackendServer{
-		Service: service, Address: netip.AddrPortFrom(address, backendPort), Announcements: netip.AddrPortFrom(address, controlPort), OnExecute: fleet.ledger.recordExecution,
+		Service: service, Address: netip.AddrPortFrom(address, backendPort), Announcements: netip.AddrPortFrom(address, controlPort), OnExecute: func(exe standin.Execution) {
+			fleet.ledger.recordExecution(exe)
+			fleet.checkEvacuation(hos, exe.ID)
+		},
 		ListenAddress: netip.AddrPortFrom(address, backendPort+linkedPortOffset), CrashPath: crashPath, DownTime: backendDownTime,
 	}
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", netip.AddrPortFrom(address, storePort+linkedPortOffset).String())
@@ -83,7 +90,7 @@
 		hos.close()
 		return nil, err
 	}
-	return hos, hos.writeSettings(number, service)
+	return hos, hos.writeSettings(service)
 }
 
 // openLinks puts a link in front of the node's listener for callers, the backend server and the store.
@@ -102,9 +109,9 @@
 
 func (hos *host) links() []*link { return []*link{hos.callersLink, hos.backendLink, hos.storeLink} }
 
-func (hos *host) writeSettings(number int, service string) error {
+func (hos *host) writeSettings(service string) error {
 	text := standin.Settings(standin.Host{
-		Name: hos.name, Address: hos.address, DataCentre: fmt.Sprint("z", number/2%2), Service: service, StopTime: graceTime,
+		Name: hos.name, Address: hos.address, DataCentre: hos.dataCentre, Service: service, StopTime: graceTime,
 		Callers: callersPort, Ready: readyPort, Announcements: controlPort, BackendServer: backendPort, Store: storePort, Peers: peersPort,
 	})
 	return eris.Wrap(os.WriteFile(hos.file("toml"), []byte(text), 0o600), "write settings")
@@ -142,6 +149,7 @@
 	hos.mut.Lock()
 	defer hos.mut.Unlock()
 	hos.lastFault = time.Now()
+	hos.lastStoreFault = hos.lastFault
 }
 
 // faultFreeFor reports whether lastFault is longer ago than the given time. A fault that lasts longer counts only at
--- a/soak/run.go
+++ b/soak/run.go
@@ -68,7 +68,10 @@
 	if err := fle.awaitService(ctx, startTimeout); err != nil {
 		fle.ledger.addViolation("start", "%v", err)
 	}
+	evacuations := make(chan []string, 1)
+	go func() { evacuations <- fle.injectEvacuations(ctx, pla) }()
 	res.Faults = fle.injectFaults(ctx, pla)
+	res.Faults = append(res.Faults, <-evacuations...)
 	if err := fle.awaitService(ctx, recoveryTimeout); err != nil {
 		fle.ledger.addViolation("recovery", "%v", err)
 	}
