--- a/core/configurationfeed/feed.go
+++ b/core/configurationfeed/feed.go
@@ -11,6 +11,7 @@
 	"flamingoreach/core/evacuation"
 	"flamingoreach/core/evacuation/record"
 	"flamingoreach/core/machine"
+	"flamingoreach/core/storeposition"
 )
 
 const (
@@ -44,7 +45,9 @@
 
 	state    string
 	revision uint64
-	current  *configuration.Configuration
+	// era is that of the answer with which the revision was last set.
+	era     uint64
+	current *configuration.Configuration
 	// evacuations is what is known of the evacuated data centres.
 	evacuations *record.Record
 	answer      reading.Reading
@@ -122,7 +125,7 @@
 	if answer.Evacuation != nil {
 		fee.evacuations.Listed(*answer.Evacuation)
 	} else {
-		fee.evacuations.Changed(answer.Position(), answer.EvacuationChanges)
+		fee.evacuations.Changed(storeposition.Position{Era: fee.era, Revision: fee.revision}, answer.Position(), answer.EvacuationChanges)
 	}
 	switch {
 	case errors.Is(err, reading.ErrHistoryExpired):
@@ -150,6 +153,7 @@
 func (fee *Feed) acceptAnswer() {
 	fee.confirmedAt = time.Now()
 	fee.revision = max(fee.revision, fee.answer.Revision)
+	fee.era = fee.answer.Era
 	if fee.answer.Configuration != nil {
 		fee.offer(fee.answer.Configuration, "store")
 	}
--- a/core/evacuation/record/record.go
+++ b/core/evacuation/record/record.go
@@ -22,9 +22,6 @@
 
 	known  bool
 	latest evacuation.Evacuation
-	// listed is set once the store has listed all rows, in the era listedEra. Changes in that era are complete.
-	listed    bool
-	listedEra uint64
 	// kept maps the evacuations of earlier eras that remain in effect to the time at which they end.
 	kept      map[string]time.Time
 	effective evacuation.Evacuation
@@ -44,25 +41,29 @@
 
 // Listed records all rows of the store at a position.
 func (rec *Record) Listed(eva evacuation.Evacuation) {
-	rec.listed, rec.listedEra = true, max(rec.listedEra, eva.Position.Era)
 	rec.replace(eva, "store")
 }
 
-// Changed records an answer of the store with the changes up to a position, in their order, since an earlier answer. An
-// answer without changes confirms the present rows. Changes in another era than that of the last list say nothing about
-// the rows in between and are ignored, until the rows of that era are listed.
-func (rec *Record) Changed(position storeposition.Position, changes []change.Change) {
-	if !rec.listed || position.Era != rec.listedEra || position.Era != rec.latest.Position.Era || !rec.latest.Position.Before(position) {
+// Changed records an answer of the store with the changes after a position up to another one, in their order. An answer
+// without changes confirms the known rows. Changes that do not continue what is known are ignored: those of another era than
+// the position that they were asked after, and those after a later position than the known one. The changes after revision
+// 0 are all that there were in the era.
+func (rec *Record) Changed(after, position storeposition.Position, changes []change.Change) {
+	base := rec.latest
+	switch {
+	case rec.known && !rec.latest.Position.Before(position):
+		return
+	case after.Revision == 0 && base.Position.Era != position.Era:
+		base = evacuation.Evacuation{}
+	case after.Revision > 0 && (!rec.known || after.Era != position.Era || base.Position.Era != position.Era || base.Position.Before(after)):
 		return
 	}
-	dataCentres := slices.Clone(rec.latest.DataCentres)
+	dataCentres := slices.Clone(base.DataCentres)
 	for _, cha := range changes {
 		dataCentres = slices.DeleteFunc(dataCentres, func(name string) bool { return name == cha.DataCentre })
 		if cha.Evacuated {
 			dataCentres = append(dataCentres, cha.DataCentre)
 		}
-		// The operators have decided on this data centre in the present era.
-		delete(rec.kept, cha.DataCentre)
 	}
 	rec.replace(evacuation.New(position, dataCentres...), "store")
 }
--- a/core/view/view_test.go
+++ b/core/view/view_test.go
@@ -15,7 +15,8 @@
 // evacuated.
 func TestMembersOfEvacuatedDataCentresTakeNoNewWork(t *testing.T) {
 	members := []member.Member{
-		{ID: "1", Service: "s", DataCentre: "a", State: "serving"}, {ID: "2", Service: "s", DataCentre: "b", State: "serving"},
+		{ID: "1", Service: "s", DataCentre: "a", State: "serving"},
+		{ID: "2", Service: "s", DataCentre: "b", State: "serving"},
 		{ID: "3", Service: "t", DataCentre: "b", State: "draining"},
 	}
 	vie := view.New(nil, nil, members[0], members).WithEvacuation(evacuation.New(storeposition.Position{Revision: 1}, "b"))
--- a/io/hostnode/evacuation_test.go
+++ b/io/hostnode/evacuation_test.go
@@ -35,9 +35,8 @@
 	return hosts
 }
 
-// requireServing waits until each host knows the given number of members that take new work, and returns the time that
-// it took.
-func requireServing(t *testing.T, hosts []*host, count int, within time.Duration) {
+// requireServing waits until each host knows the given number of members that take new work.
+func requireServing(t *testing.T, hosts []*host, count int) {
 	t.Helper()
 	began := time.Now()
 	require.Eventually(t, func() bool {
@@ -47,7 +46,7 @@
 			}
 		}
 		return true
-	}, within, 5*time.Millisecond)
+	}, evacuationBound, 5*time.Millisecond)
 	t.Logf("known to all after %s", time.Since(began))
 }
 
@@ -76,7 +75,7 @@
 	hosts := startInDataCentres(t, sto, "a", "a", "b", "b", "c")
 	requireServedBy(t, hosts, 0, 1, 2, 3, 4)
 	sto.setEvacuated("b", true)
-	requireServing(t, hosts, 3, evacuationBound)
+	requireServing(t, hosts, 3)
 	requireServedBy(t, hosts, 0, 1, 4)
 	for _, hos := range hosts {
 		require.True(t, hos.AcceptsCalls(), "callers in the evacuated data centre are served")
@@ -86,12 +85,12 @@
 	hosts[0].storeUnreachable.Store(true)
 	hosts[1].storeUnreachable.Store(true)
 	sto.setEvacuated("a", true)
-	requireServing(t, hosts, 1, evacuationBound)
+	requireServing(t, hosts, 1)
 	requireServedBy(t, hosts, 4)
 
 	// The last one.
 	sto.setEvacuated("c", true)
-	requireServing(t, hosts, 0, evacuationBound)
+	requireServing(t, hosts, 0)
 	ans, _ := hosts[0].ask(t.Context(), "last", "/quotes/1", bearer)
 	require.Equal(t, reason.DataCentreEvacuated, ans.Refusal.Reason)
 	require.Equal(t, outcome.NotRun, ans.Refusal.Outcome)
@@ -103,7 +102,7 @@
 		sto.setEvacuated("b", true)
 	}
 	sto.setEvacuated("c", false)
-	requireServing(t, hosts, 1, evacuationBound)
+	requireServing(t, hosts, 1)
 	requireServedBy(t, hosts, 4)
 }
 
@@ -113,7 +112,7 @@
 	sto := newStore(testConfiguration(1))
 	hosts := startInDataCentres(t, sto, "a", "b")
 	sto.setEvacuated("b", true)
-	requireServing(t, hosts, 1, evacuationBound)
+	requireServing(t, hosts, 1)
 	restarted := hosts[1].announcement(localserver.Serving, 0)
 	restarted.Started = restarted.Started.Add(time.Minute)
 	require.NoError(t, hosts[1].ReceiveAnnouncement(t.Context(), restarted))
--- a/soak/evacuation.go
+++ b/soak/evacuation.go
@@ -52,14 +52,11 @@
 func (fle *Fleet) setEvacuated(dataCentre string, evacuated bool) {
 	fle.mut.Lock()
 	defer fle.mut.Unlock()
-	key := "evacuate/" + dataCentre
-	if !evacuated {
-		delete(fle.evacuatedAt, dataCentre)
-		fle.store.Delete("op", key)
-		return
+	delete(fle.evacuatedAt, dataCentre)
+	fle.store.SetEvacuated(dataCentre, evacuated)
+	if evacuated {
+		fle.evacuatedAt[dataCentre] = time.Now()
 	}
-	fle.store.Put("op", key, []byte("{}"))
-	fle.evacuatedAt[dataCentre] = time.Now()
 }
 
 // checkEvacuation reports a request that reached the backend server of a host whose data centre must be evacuated by now.
