Do not take a failed request for a list without evacuations

Cause: a request to the store that fails has an empty reading. Feed passed it on as changes after revision 0 up to position 0, which a node that knows no list takes for all changes of the era. A node that started while the store did not answer it so knew an empty list at once, opened its gate, and told others that list.

Change: an answer with an error and without a position says nothing of evacuations.

Result: TestAFailedRequestSaysNothingOfEvacuations fails before the change and passes after it.

--- a/core/configurationfeed/feed.go
+++ b/core/configurationfeed/feed.go
@@ -122,11 +122,7 @@
 // configuration beside them is invalid.
 func (fee *Feed) HandleAnswer(answer reading.Reading, err error) {
 	fee.answer, fee.err = answer, err
-	if answer.Evacuation != nil {
-		fee.evacuations.Listed(*answer.Evacuation)
-	} else {
-		fee.evacuations.Changed(storeposition.Position{Era: fee.era, Revision: fee.revision}, answer.Position(), answer.EvacuationChanges)
-	}
+	fee.recordEvacuations()
 	switch {
 	case errors.Is(err, reading.ErrHistoryExpired):
 		fee.fire("expired")
@@ -145,6 +141,17 @@
 // ReceiveEvacuation accepts evacuations from another node if they were read at a later position than the known ones.
 func (fee *Feed) ReceiveEvacuation(eva evacuation.Evacuation) { fee.evacuations.Receive(eva) }
 
+// recordEvacuations records what the answer tells of evacuations: nothing if the request failed without one.
+func (fee *Feed) recordEvacuations() {
+	position := fee.answer.Position()
+	switch {
+	case fee.answer.Evacuation != nil:
+		fee.evacuations.Listed(*fee.answer.Evacuation)
+	case fee.err == nil || position != storeposition.Position{}:
+		fee.evacuations.Changed(storeposition.Position{Era: fee.era, Revision: fee.revision}, position, fee.answer.EvacuationChanges)
+	}
+}
+
 func (fee *Feed) follow() {
 	fee.followedAt = time.Now()
 	fee.Follow(fee.revision)
--- a/core/configurationfeed/feed_test.go
+++ b/core/configurationfeed/feed_test.go
@@ -182,3 +182,17 @@
 	require.True(t, known)
 	require.Equal(t, changed.Position(), eva.Position)
 }
+
+// Guards against a node that takes a failed request for a list without evacuations: after a start it would open its gate.
+func TestAFailedRequestSaysNothingOfEvacuations(t *testing.T) {
+	for _, err := range []error{errors.New("the store is away"), reading.ErrHistoryExpired} {
+		var log []string
+		fee := newFeed(&log)
+		fee.OnEvacuation = func(evacuation.Evacuation, string) { log = append(log, "evacuations") }
+		fee.Tick()
+		fee.HandleAnswer(reading.Reading{}, err)
+		_, known := fee.Evacuations()
+		require.False(t, known)
+		require.NotContains(t, log, "evacuations")
+	}
+}
