Refuse older idempotency keys at a gate that opens again

Cause: while a gate is closed, ingress nodes send calls with an idempotency key to another gate in place of the owner (keyowner.RefusesAllCalls). The closed gate did not resume its dedupe table when it opened, as it does after a restart of the backend server, so that a key which the other gate had run could run once more.

Change: SetClosed resumes the dedupe table when the gate opens.

Result: TestAGateThatOpensRefusesKeysThatAnotherGateMayHaveRun fails before the change (the call runs) and passes after it.

--- a/core/gate/closed_test.go
+++ b/core/gate/closed_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
 
 	"flamingoreach/core/gate"
@@ -37,3 +38,23 @@
 		require.Nil(t, (<-start(gat, newCall("a", 1), sleeping(0))).ans.Refusal)
 	})
 }
+
+// Guards against a call that runs twice: at the gate that acted for a closed one, and at the closed one once it opens.
+func TestAGateThatOpensRefusesKeysThatAnotherGateMayHaveRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gat := oneSlotGate(2)
+		time.Sleep(time.Hour)
+		gat.SetClosed(reason.DataCentreEvacuated)
+		older := newCall("a", 0)
+		older.IdempotencyKey = uuid.Must(uuid.NewV7()).String()
+		ans, _ := gat.Run(t.Context(), older, sleeping(0))
+		require.Equal(t, reason.DataCentreEvacuated, ans.Refusal.Reason)
+		time.Sleep(time.Second)
+		gat.SetClosed(reason.None)
+		older.ID = uuid.New()
+		ans, _ = gat.Run(t.Context(), older, sleeping(0))
+		require.NotNil(t, ans.Refusal, "it would run a second time")
+		require.Equal(t, reason.HomeLost, ans.Refusal.Reason)
+		require.Equal(t, outcome.Unknown, ans.Refusal.Outcome)
+	})
+}
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -159,10 +159,14 @@
 
 // SetClosed closes the gate for a reason, or opens it again with reason.None. While it is closed it refuses all calls,
 // waiting ones at once, as not run and acceptable elsewhere; running calls end. The state of the backend server changes
-// independently of that.
+// independently of that. When it opens, the dedupe table resumes, because other gates may have run the calls of older
+// idempotency keys.
 func (gat *Gate) SetClosed(why reason.Reason) {
 	gat.mut.Lock()
 	defer gat.mut.Unlock()
+	if why == reason.None && gat.closed != reason.None {
+		gat.dedupe.Resume(time.Now())
+	}
 	gat.closed = why
 	if why != reason.None {
 		gat.refuseAllWaiting(overloaded(why, "gate.closed"))
