Let a call that leaves an evacuated data centre wait elsewhere

Cause: a call that waited at a gate which closes asks the full gates again. As long as its node has not heard of the evacuation, members of that data centre remain untried, so that the full gates are asked to refuse rather than to queue it (RefuseWhenFull). The call then reaches the other closed gates and is refused.

Change: the call leaves out the members of the data centre whose gate refused it, unless there are no others.

Result: TestACallThatLeavesAnEvacuatedDataCentreWaitsElsewhere fails before the change (dataCentreEvacuated) and passes after it.

--- a/core/attempt/runner.go
+++ b/core/attempt/runner.go
@@ -171,8 +171,10 @@
 }
 
 // noteRefusal lets a call that waited at a gate whose data centre is then evacuated ask, once, the members again that it
-// left for that gate because it would have had to wait there. Members that are new since the call began count too. The call
-// gets another ID, because a gate does not run an ID that it has refused: a late delivery of it must not run.
+// left for that gate because it would have had to wait there. Members that are new since the call began count too, and
+// those of the evacuated data centre do not if there are others, even if this node has not heard of the evacuation yet:
+// while they are untried, the call would not wait at any other gate, see RefuseWhenFull. The call gets another ID, because
+// a gate does not run an ID that it has refused: a late delivery of it must not run.
 func (pro *progress) noteRefusal() {
 	switch {
 	case pro.refusal == nil:
@@ -181,6 +183,12 @@
 	case pro.refusal.Reason == reason.DataCentreEvacuated && !pro.moved:
 		pro.moved = true
 		pro.candidates = pro.runner.Candidates(pro.cal)
+		others := slices.DeleteFunc(slices.Clone(pro.candidates), func(mem member.Member) bool {
+			return mem.DataCentre == pro.chosen.DataCentre
+		})
+		if len(others) > 0 {
+			pro.candidates = others
+		}
 		if len(pro.full) == 0 || pro.runner.NewID == nil {
 			return
 		}
