--- /dev/null
+++ b/core/departurecheck/verdict/doc.go
@@ -0,0 +1,2 @@
+// Package verdict describes the result of a departure check.
+package verdict
--- /dev/null
+++ b/core/departures/doc.go
@@ -0,0 +1,2 @@
+// Package departures keeps the departures of backend servers that other nodes have announced to this one.
+package departures
