Open the gate of a restarted node only once a departure is ruled out

Cause: the second heartbeat after the start of a node opened its gate.

Change: a node tells three others and the store of a departure before it acknowledges it, for 0.45 s at most, and completes missing copies for 30 s. In the state doubted of the chart localServer a check decides in place of the second heartbeat; a heartbeat waits for it up to 0.7 s. A process that started after the node is used at once. TestARepeatedHeartbeatAfterARestartOpensTheGate required a 503 to the first heartbeat, which is no longer sent; it is replaced by TestABackendServerThatHasNotLeftServesAfterARestartOfItsNode, which needs one heartbeat only and counts reads and probes. The test of core/localserver that took the second announcement as proof now requires that it proves nothing.

--- a/cmd/flamingoreach-host/command/command.go
+++ b/cmd/flamingoreach-host/command/command.go
@@ -122,11 +122,14 @@
 	pool := http1.NewPool(backendDialTimeout)
 	pool.Room = room.New(set.MemoryBytes / roomDivisor)
 	bodies := room.New(set.MemoryBytes / bodiesDivisor)
-	backend := &platform.BackendServer{Pool: pool, BodyBytes: bodyBytes}
+	backend := &platform.BackendServer{
+		Pool: pool, BodyBytes: bodyBytes, HealthPath: func() string { return store.HealthPath(set.Service) },
+	}
 	nod := hostnode.New(set, hostnode.Platform{
 		ReadConfiguration: store.ReadConfiguration, FollowConfiguration: store.FollowConfiguration,
 		ReadMembers: store.ReadMembers, WriteMember: store.WriteMember, DeleteMember: store.DeleteMember,
 		ReadCrashRecords: store.ReadCrashRecords, WriteCrashRecords: store.WriteCrashRecords,
+		ReadDeparture: store.ReadDeparture, WriteDeparture: store.WriteDeparture, ProbeBackendServer: backend.Probe,
 		Execute: backend.Execute, Sweep: pool.Sweep, CloseIdle: pool.CloseIdle,
 	}, logger)
 	backend.OnRefused = nod.HandleRefusedConnection
--- a/core/localserver/server.go
+++ b/core/localserver/server.go
@@ -6,12 +6,17 @@
 
 	"flamingoreach/charts"
 	"flamingoreach/core/announcement"
+	"flamingoreach/core/departure"
+	"flamingoreach/core/departurecheck/verdict"
 	"flamingoreach/core/machine"
 )
 
 // SilenceLimit is the time without an announcement after which a backend server is taken to have ended.
 const SilenceLimit = 5 * time.Second
 
+// CheckLimit is longer than a check takes. One that has not ended by then is taken to be lost.
+const CheckLimit = 5 * time.Second
+
 // formerLimit bounds the IDs of earlier processes that are kept.
 const formerLimit = 16
 
@@ -33,12 +38,16 @@
 	OnAlive func()
 	// OnChange is called with each new state and the latest announcement.
 	OnChange func(state string, ann announcement.Announcement)
-	// DoubtFirst makes the gate stay closed until a process has announced itself twice, for the first process since the
-	// start of this node. It suits backend servers that repeat an announcement which is not acknowledged.
-	DoubtFirst bool
-
-	// opened is set once the gate has been opened.
-	opened        bool
+	// Check, if set, starts to find out whether the process of an announcement has left; Checked gets the result. It is called
+	// for a process that may be older than this node, which may have acknowledged the departure before it was restarted.
+	Check func(ann announcement.Announcement)
+	// NodeStarted is when this node started, by the clock of the host.
+	NodeStarted time.Time
+
+	// opened is the announcement of the process for which the gate was opened last.
+	opened announcement.Announcement
+	// checkBegan is when the check that is under way began; it is zero if there is none.
+	checkBegan    time.Time
 	state         string
 	latest        announcement.Announcement
 	lastAnnounced time.Time
@@ -50,13 +59,18 @@
 }
 
 var chart = machine.MustNew(charts.MustLoad("localServer"),
-	[]string{"serving", "draining", "restarted", "silent", "broken"},
+	[]string{"serving", "draining", "restarted", "silent", "broken", "cleared", "left", "unclear"},
 	map[string]func(*Server) bool{
-		"mayBeLate": func(ser *Server) bool { return ser.DoubtFirst && !ser.opened },
+		"mayBeLate":  (*Server).mayBeLate,
+		"checkEnded": func(ser *Server) bool { return time.Since(ser.checkBegan) > CheckLimit },
 	},
 	map[string]func(*Server){
+		"check": func(ser *Server) {
+			ser.checkBegan = time.Now()
+			ser.Check(ser.latest)
+		},
 		"open": func(ser *Server) {
-			ser.opened = true
+			ser.opened = ser.latest
 			ser.Open(ser.latest)
 		},
 		"drain": func(ser *Server) { ser.Drain() },
@@ -101,6 +115,56 @@
 	return true
 }
 
+// mayBeLate reports whether the latest announcement may come from a process whose departure this node acknowledged before it
+// was restarted. A process that this node has used is known to it, and one that started after this node has not left yet. A
+// process without a start time is taken to be new if this node has used another one.
+func (ser *Server) mayBeLate() bool {
+	switch {
+	case ser.Check == nil, ser.opened.ID != "" && ser.latest.SameProcess(ser.opened):
+		return false
+	case ser.latest.Started.IsZero():
+		return ser.opened.ID == ""
+	}
+	return !ser.latest.Started.After(ser.NodeStarted)
+}
+
+// Checked handles the result of a check of the process of an announcement. If it has left, later announcements that its
+// departure covers are ignored. If that is not known, the next announcement starts another check.
+func (ser *Server) Checked(ann announcement.Announcement, ver verdict.Verdict) {
+	if ser.state != Doubted || !ser.latest.SameProcess(ann) {
+		return
+	}
+	ser.checkBegan = time.Time{}
+	switch {
+	case !ver.Decided:
+		ser.fire("unclear")
+	case !ver.Found || !ver.Departure.Covers(ser.latest):
+		ser.fire("cleared")
+	default:
+		if ver.Departure.Deregistered || ver.Departure.ServerID != ser.latest.ID {
+			ser.recordLeft(ser.latest.ID, ser.latest.Started)
+		}
+		ser.latest.Sequence = max(ser.latest.Sequence, ver.Departure.Sequence)
+		ser.fire("left")
+	}
+}
+
+// DepartureOf returns the departure of the process with the ID and start time, which is zero if it is not known, for other
+// nodes to keep; its field Host is not set. It returns false if a later process is known, as the earlier one has ended then.
+func (ser *Server) DepartureOf(id string, started time.Time) (departure.Departure, bool) {
+	dep := departure.Departure{ServerID: id, Started: started, At: time.Now()}
+	if !started.IsZero() && started.Before(ser.latest.Started) {
+		return dep, false
+	}
+	if id == ser.latest.ID {
+		dep.Sequence = ser.latest.Sequence
+		if started.IsZero() {
+			dep.Started = ser.latest.Started
+		}
+	}
+	return dep, true
+}
+
 // hasLeft reports whether an announcement comes from a process that has left, and not from a later process of the same
 // ID.
 func (ser *Server) hasLeft(ann announcement.Announcement) bool {
@@ -121,26 +185,30 @@
 	if id == ser.latest.ID && !started.IsZero() && started.Before(ser.latest.Started) {
 		return false
 	}
-	if len(ser.leftAt) >= formerLimit {
-		clear(ser.leftAt)
-	}
 	if id != ser.latest.ID {
 		if started.IsZero() {
 			started = time.Now()
 		}
-		ser.leftAt[id] = started
+		ser.recordLeft(id, started)
 		return false
 	}
 	// A later process of the ID may leave before this node has heard of it.
 	if started.Before(ser.latest.Started) {
 		started = ser.latest.Started
 	}
-	ser.leftAt[id] = started
+	ser.recordLeft(id, started)
 	ser.lastAnnounced = time.Now()
 	ser.fire(Draining)
 	return true
 }
 
+func (ser *Server) recordLeft(id string, started time.Time) {
+	if len(ser.leftAt) >= formerLimit {
+		clear(ser.leftAt)
+	}
+	ser.leftAt[id] = started
+}
+
 // ConnectionRefused handles that the backend server refuses connections, which means that its process has ended.
 func (ser *Server) ConnectionRefused() { ser.fire("broken") }
 
--- a/io/hostnode/node.go
+++ b/io/hostnode/node.go
@@ -123,6 +123,7 @@
 	feed        *configurationfeed.Feed
 	followers   *followers.Followers
 	crashLink   *crashlink.Link
+	departures  departureState
 	// hostsSeenAt maps the address of each host to the time at which it was last a live member.
 	hostsSeenAt map[netip.AddrPort]time.Time
 	// processorUsed is the processor time of this process when it was last read.
@@ -177,6 +178,7 @@
 	nod.setUpCalls()
 	nod.setUpServer()
 	nod.setUpMembers()
+	nod.setUpDepartures()
 	nod.setUpConfiguration()
 	nod.setUpShares()
 	nod.setUpRuntime()
--- a/io/hostnode/platform.go
+++ b/io/hostnode/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"flamingoreach/core/announcement"
@@ -9,6 +10,7 @@
 	"flamingoreach/core/call"
 	"flamingoreach/core/configurationfeed/reading"
 	"flamingoreach/core/crash/record"
+	"flamingoreach/core/departure"
 	"flamingoreach/core/membership/memberrow"
 	"flamingoreach/io/message"
 )
@@ -29,6 +31,12 @@
 	// is ignored. Records without crashes are deleted.
 	ReadCrashRecords  func(ctx context.Context, service string, skipped func(key string, err error)) ([]record.Record, error)
 	WriteCrashRecords func(ctx context.Context, service string, records []record.Record) error
+	// ReadDeparture reads the latest departure on a host from the store and reports whether there is one. WriteDeparture
+	// writes it.
+	ReadDeparture  func(ctx context.Context, host netip.AddrPort) (departure.Departure, bool, error)
+	WriteDeparture func(ctx context.Context, dep departure.Departure) error
+	// ProbeBackendServer asks the process of an announcement whether it serves. An error means that it did not say.
+	ProbeBackendServer func(ctx context.Context, ann announcement.Announcement) (serving bool, err error)
 	// Execute sends a call once to the backend server that the announcement describes.
 	Execute func(ctx context.Context, ann announcement.Announcement, cal call.Call, msg message.Message) (answer.Answer, message.Message)
 	// Sweep closes the connections to the backend server that were idle too long, and CloseIdle closes all idle ones.
--- a/io/hostnode/server.go
+++ b/io/hostnode/server.go
@@ -56,6 +56,7 @@
 // setUpServer connects the state of the local backend server with the gate and with this node's own membership entry.
 func (nod *Node) setUpServer() {
 	nod.localServer.Open = func(ann announcement.Announcement) {
+		nod.departures.latest = nil
 		nod.backend.Store(&ann)
 		nod.gate.Configure(gatePolicy(ann.Slots))
 		nod.gate.SetState(gate.Warming)
@@ -68,7 +69,6 @@
 		nod.platform.CloseIdle()
 	}
 	nod.localServer.OnAlive = nod.gate.ConfirmAlive
-	nod.localServer.DoubtFirst = true
 	nod.gate.OnDeath = func(dea death.Death) {
 		nod.log.Warn("backend server died", dea.Fields()...)
 	}
@@ -90,32 +90,43 @@
 	})
 }
 
-// errDoubted asks a backend server to announce itself again.
-var errDoubted = eris.New("the announcement may be late, it is in force once it is repeated")
-
 // ReceiveAnnouncement applies an announcement of the backend server and returns once it is in force; it fails with
-// the context's error, or if the announcement must be repeated. The backend server gets the error's text in a 503. One
-// that still waits for the answer repeats the announcement at once, unlike the sender of a late one.
+// the context's error, or if the announcement must be repeated. The backend server gets the error's text in a 503. An
+// announcement that the backend server drains is in force once the gate is closed and other nodes or the store know.
 func (nod *Node) ReceiveAnnouncement(ctx context.Context, ann announcement.Announcement) error {
-	doubted, err := dispatcher.OnControl(ctx, nod.dispatcher, "localServer.announced", nil, func() bool {
+	var checked, departed <-chan struct{}
+	err := nod.control.Do(ctx, "localServer.announced", func() {
 		if !nod.localServer.Announced(ann) {
 			nod.log.Info("announcement ignored", "id", ann.ID, "sequence", ann.Sequence, "started", ann.Started)
 		}
-		return nod.localServer.State() == localserver.Doubted
+		switch {
+		case nod.localServer.State() == localserver.Doubted:
+			checked = nod.departures.checkEnded
+		case ann.State == localserver.Draining && nod.localServer.State() != localserver.Serving:
+			departed = nod.beginDeparture(ann.ID, ann.Started, false)
+		}
 	})
-	if err == nil && doubted {
-		err = errDoubted
+	if err == nil && checked != nil {
+		err = nod.awaitCheck(ctx, ann, checked)
+	}
+	if err == nil {
+		err = awaitDeparture(ctx, departed)
 	}
 	return eris.Wrap(err, "take announcement")
 }
 
 // DeregisterBackendServer handles the deregistration of the backend server's process with the ID and start time, which may
-// be zero, and returns once its gate is closed; it fails with the context's error. The backend server gets the error's text
-// in a 503.
+// be zero, and returns once its gate is closed and other nodes or the store know; it fails with the context's error. The
+// backend server gets the error's text in a 503.
 func (nod *Node) DeregisterBackendServer(ctx context.Context, id string, started time.Time) error {
+	var departed <-chan struct{}
 	err := nod.control.Do(ctx, "localServer.left", func() {
 		nod.log.Info("backend server leaves", "id", id, "started", started, "present", nod.localServer.ProcessLeaving(id, started))
+		departed = nod.beginDeparture(id, started, true)
 	})
+	if err == nil {
+		err = awaitDeparture(ctx, departed)
+	}
 	return eris.Wrap(err, "take the backend server off")
 }
 
