Write a departure once although the store is slow

Cause: a write to the store may outlast the attempt that started it by 1.5 s. A repeated heartbeat that says draining would then have started a second write.

Change: a record of a departure has one write under way at most.

--- a/io/hostnode/departures.go
+++ b/io/hostnode/departures.go
@@ -54,6 +54,8 @@
 	ended chan struct{}
 	// informed is set once enough other nodes keep the departure, and written once the store does.
 	informed, written atomic.Bool
+	// writing is set while a write to the store is under way, which may outlast its attempt.
+	writing atomic.Bool
 }
 
 // covers reports whether the record makes one of another departure needless.
@@ -206,9 +208,31 @@
 func (nod *Node) copyDeparture(ctx context.Context, rec *departureRecord, ended chan<- struct{}) {
 	defer close(ended)
 	began := time.Now()
+	stored := nod.startWrite(rec)
+	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
+	defer cancel()
+	confirmed, asked := nod.departures.link.Announce(ctx, rec.departure)
+	rec.informed.Store(2*confirmed > asked)
+	select {
+	case <-stored:
+	case <-ctx.Done():
+	}
+	nod.log.Info("departure kept", "id", rec.departure.ServerID, "started", rec.departure.Started, "sequence", rec.departure.Sequence,
+		"deregistered", rec.departure.Deregistered, "confirmed", confirmed, "asked", asked, "written", rec.written.Load(),
+		"after", time.Since(began))
+}
+
+// startWrite starts to write a departure to the store, unless it is there or a write is under way. It returns a channel that is
+// closed at the end of the write.
+func (nod *Node) startWrite(rec *departureRecord) <-chan struct{} {
 	stored := make(chan struct{})
-	if rec.written.Load() || !nod.tasks.Start(func(ctx context.Context) {
+	if rec.written.Load() || !rec.writing.CompareAndSwap(false, true) {
+		close(stored)
+		return stored
+	}
+	if !nod.tasks.Start(func(ctx context.Context) {
 		defer close(stored)
+		defer rec.writing.Store(false)
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
 		err := nod.platform.WriteDeparture(ctx, rec.departure)
@@ -217,19 +241,10 @@
 		}
 		rec.written.Store(err == nil)
 	}) {
+		rec.writing.Store(false)
 		close(stored)
 	}
-	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
-	defer cancel()
-	confirmed, asked := nod.departures.link.Announce(ctx, rec.departure)
-	rec.informed.Store(2*confirmed > asked)
-	select {
-	case <-stored:
-	case <-ctx.Done():
-	}
-	nod.log.Info("departure kept", "id", rec.departure.ServerID, "started", rec.departure.Started, "sequence", rec.departure.Sequence,
-		"deregistered", rec.departure.Deregistered, "confirmed", confirmed, "asked", asked, "written", rec.written.Load(),
-		"after", time.Since(began))
+	return stored
 }
 
 // awaitDeparture waits until a departure may be acknowledged; it fails with the context's error.
--- a/io/hostnode/departures_test.go
+++ b/io/hostnode/departures_test.go
@@ -108,10 +108,12 @@
 			sto.rowsDown.Store(storeDown)
 			reads, probes := sto.reads(), hos.probes.Load()
 			hos.startNode(t, sto)
+			began := time.Now()
 			require.Eventually(t, func() bool {
 				// One that is not in force in time is repeated.
 				return hos.ReceiveAnnouncement(t.Context(), hos.announcement(localserver.Serving, 2)) == nil
 			}, testTime, time.Millisecond)
+			t.Logf("in use %s after the first heartbeat", time.Since(began))
 			before := hos.runs.Load()
 			require.Eventually(t, func() bool {
 				hos.ask(t.Context(), fmt.Sprint(time.Now().UnixNano()), "/open/1", "")
