Hold the tests of departures to their target times

No test bounded the time of the acknowledgement, nor the reads and probes of a start of the whole fleet.

Change: 0.5 s from the first heartbeat, 1 s to the first call, 0.5 s to the acknowledgement, one read for each node and no probe in a start of the fleet.

--- a/io/hostnode/departures_test.go
+++ b/io/hostnode/departures_test.go
@@ -20,6 +20,10 @@
 const (
 	lateInterval = 300 * time.Millisecond
 	watchTime    = 3 * time.Second
+	// restartTime is the time from its first heartbeat within which a backend server must be in use after a restart of its node.
+	restartTime = 500 * time.Millisecond
+	// acknowledgeTime is the time within which a departure must be acknowledged.
+	acknowledgeTime = 500 * time.Millisecond
 )
 
 // Guards against a backend server that is used again after its node acknowledged its departure and was restarted, because
@@ -103,6 +107,10 @@
 			t.Parallel()
 			sto, hosts := openFleet(t)
 			hos := hosts[0]
+			require.LessOrEqual(t, sto.reads(), len(hosts), "one read for each start of a node")
+			for _, started := range hosts {
+				require.Zero(t, started.probes.Load(), "a start of the whole fleet makes no probe")
+			}
 			hos.stop()
 			require.NoError(t, <-hos.end)
 			sto.rowsDown.Store(storeDown)
@@ -113,12 +121,14 @@
 				// One that is not in force in time is repeated.
 				return hos.ReceiveAnnouncement(t.Context(), hos.announcement(localserver.Serving, 2)) == nil
 			}, testTime, time.Millisecond)
-			t.Logf("in use %s after the first heartbeat", time.Since(began))
+			inUse := time.Since(began)
+			t.Logf("in use %s after the first heartbeat", inUse)
+			require.LessOrEqual(t, inUse, restartTime)
 			before := hos.runs.Load()
 			require.Eventually(t, func() bool {
 				hos.ask(t.Context(), fmt.Sprint(time.Now().UnixNano()), "/open/1", "")
 				return hos.runs.Load() > before
-			}, testTime, 10*time.Millisecond)
+			}, time.Second, 10*time.Millisecond)
 			if storeDown {
 				require.Equal(t, probes+1, hos.probes.Load())
 				return
@@ -161,7 +171,9 @@
 
 	release := make(chan struct{})
 	sto.holdWrites.Store(&release)
+	began := time.Now()
 	require.NoError(t, hosts[1].DeregisterBackendServer(t.Context(), "h1", time.Unix(1, 0)), "the write has not ended")
+	require.LessOrEqual(t, time.Since(began), acknowledgeTime)
 	close(release)
 	require.Eventually(t, func() bool { return sto.writes() == 2 }, testTime, 10*time.Millisecond)
 }
