--- a/core/departurecheck/check.go
+++ b/core/departurecheck/check.go
@@ -20,9 +20,9 @@
 	storeTimeout = 350 * time.Millisecond
 	// probeTimeout bounds the probe of the backend server. A live process on the same host answers within milliseconds.
 	probeTimeout = 300 * time.Millisecond
-	// patience is how long the check waits for the other nodes or the store once the probe has not shown that the backend
+	// retryTimeout is how long the check waits for the other nodes or the store once the probe has not shown that the backend
 	// server serves. It bounds how long a backend server is out of use because nobody answers.
-	patience = 2 * time.Second
+	retryTimeout = 2 * time.Second
 	// retryInterval is the time between two rounds of questions while the check waits.
 	retryInterval = 300 * time.Millisecond
 )
@@ -39,7 +39,7 @@
 	Probe func(ctx context.Context, ann announcement.Announcement) (serving bool, err error)
 }
 
-// Run returns the verdict on the process of an announcement. It takes storeDelay, storeTimeout, probeTimeout and patience
+// Run returns the verdict on the process of an announcement. It takes storeDelay, storeTimeout, probeTimeout and retryTimeout
 // together at most, and a round of questions more.
 func (che *Check) Run(ctx context.Context, ann announcement.Announcement) verdict.Verdict {
 	if ver := che.ask(ctx, ann); ver.Decided {
@@ -49,7 +49,7 @@
 	if err == nil && serving {
 		return verdict.Verdict{Decided: true, Source: verdict.Probe}
 	}
-	for giveUpAt := time.Now().Add(patience); time.Now().Before(giveUpAt) && ctx.Err() == nil; {
+	for giveUpAt := time.Now().Add(retryTimeout); time.Now().Before(giveUpAt) && ctx.Err() == nil; {
 		if !wait(ctx, retryInterval) {
 			break
 		}
