--- a/io/hostnode/node.go
+++ b/io/hostnode/node.go
@@ -141,8 +141,9 @@
 	// onEvacuationEnded is called when the evacuation of this node's data centre ends, before the gate opens.
 	onEvacuationEnded func()
 	// lastTick is the time of the last tick of the control thread.
-	lastTick  time.Time
-	crashLink *crashlink.Link
+	lastTick   time.Time
+	crashLink  *crashlink.Link
+	departures departureState
 	// hostsSeenAt maps the address of each host to the time at which it was last a live member.
 	hostsSeenAt map[netip.AddrPort]time.Time
 	// coldState is the state of the chart coldStart that was last logged.
@@ -205,6 +206,7 @@
 	nod.setUpServer()
 	nod.setUpMembers()
 	nod.setUpEvacuation()
+	nod.setUpDepartures()
 	nod.setUpConfiguration()
 	nod.setUpShares()
 	nod.setUpRuntime()
