Write again what a restored store may have lost

Cause: followers went on after a revision that the restored store had given out again, and nodes whose rows were lost stayed unknown to nodes that started later.

--- a/cmd/flamingoreach-host/command/command.go
+++ b/cmd/flamingoreach-host/command/command.go
@@ -127,9 +127,11 @@
 		ReadConfiguration: store.ReadConfiguration, FollowConfiguration: store.FollowConfiguration,
 		ReadMembers: store.ReadMembers, WriteMember: store.WriteMember, DeleteMember: store.DeleteMember,
 		ReadCrashRecords: store.ReadCrashRecords, WriteCrashRecords: store.WriteCrashRecords,
-		Execute: backend.Execute, Sweep: pool.Sweep, CloseIdle: pool.CloseIdle,
+		RaiseStoreEra: store.RaiseEra,
+		Execute:       backend.Execute, Sweep: pool.Sweep, CloseIdle: pool.CloseIdle,
 	}, logger)
 	backend.OnRefused = nod.HandleRefusedConnection
+	store.OnEra, store.OnLateAnswer = nod.ReceiveStoreEra, nod.ReceiveLateAnswer
 	nod.Metrics().Gauge("request_body_bytes", func() float64 { return float64(bodies.Used()) })
 	nod.Metrics().Gauge("log_lines_dropped", func() float64 { return float64(lines.Dropped()) })
 	nod.Reload(set)
--- a/core/configurationfeed/feed.go
+++ b/core/configurationfeed/feed.go
@@ -39,6 +39,15 @@
 
 	state    string
 	revision uint64
+	// era is the store's era that gave out the revision. outdated is set once a later one is known: changes after the
+	// revision are then not all changes.
+	era      uint64
+	outdated bool
+	// earliestEra is the era from which on the answer to the pending request counts: one that became known since the request
+	// was sent.
+	earliestEra uint64
+	// requests counts the requests. The answer to an earlier one than the latest is dropped.
+	requests uint64
 	current  *configuration.Configuration
 	answer   reading.Reading
 	err      error
@@ -50,14 +59,16 @@
 }
 
 var chart = machine.MustNew(charts.MustLoad("configurationFeed"),
-	[]string{"due", "read", "changed", "failed", "expired"},
+	[]string{"due", "read", "changed", "failed", "expired", "restored", "late"},
 	map[string]func(*Feed) bool{
-		"follows": func(fee *Feed) bool { return fee.Follows() },
-		"mayRely": func(fee *Feed) bool { return fee.current != nil && !fee.Follows() },
+		"mustRead": func(fee *Feed) bool { return fee.outdated && fee.Follows() },
+		"follows":  func(fee *Feed) bool { return fee.Follows() },
+		"mayRely":  func(fee *Feed) bool { return fee.current != nil && !fee.Follows() },
 	},
 	map[string]func(*Feed){
-		"read":            func(fee *Feed) { fee.Read() },
-		"check":           func(fee *Feed) { fee.Check(fee.revision) },
+		"read":            (*Feed).read,
+		"check":           (*Feed).check,
+		"discard":         func(fee *Feed) { fee.requests++ },
 		"follow":          (*Feed).follow,
 		"acceptAnswer":    (*Feed).acceptAnswer,
 		"markReachable":   (*Feed).markReachable,
@@ -99,7 +110,26 @@
 	}
 }
 
-// HandleAnswer handles the store's answer to the pending request.
+// AnswerHandler returns a function that passes the answer to the latest request to HandleAnswer, unless the feed has
+// discarded that request by then.
+func (fee *Feed) AnswerHandler() func(answer reading.Reading, err error) {
+	request := fee.requests
+	return func(answer reading.Reading, err error) {
+		if request == fee.requests {
+			fee.HandleAnswer(answer, err)
+		}
+	}
+}
+
+// EraRose reports that the store came back from an older copy and gives out revisions again. The feed reads the whole
+// configuration again before it follows the store on.
+func (fee *Feed) EraRose(era uint64) {
+	fee.outdated, fee.earliestEra = true, era
+	fee.fire("restored")
+}
+
+// HandleAnswer handles the store's answer to the pending request. Changes after a revision of another era are not
+// complete; they count as a notice of that era.
 func (fee *Feed) HandleAnswer(answer reading.Reading, err error) {
 	fee.answer, fee.err = answer, err
 	switch {
@@ -107,6 +137,10 @@
 		fee.fire("expired")
 	case err != nil:
 		fee.fire("failed")
+	case answer.Era < fee.earliestEra:
+		fee.fire("late")
+	case fee.state != "reading" && fee.revision > 0 && answer.Era != fee.era:
+		fee.EraRose(answer.Era)
 	case fee.state == "reading":
 		fee.fire("read")
 	default:
@@ -117,13 +151,33 @@
 // ReceiveVersion accepts a version from another node if it is newer than the one in force.
 func (fee *Feed) ReceiveVersion(cfg *configuration.Configuration) { fee.offer(cfg, "peer") }
 
+func (fee *Feed) read() {
+	fee.beginRequest()
+	fee.Read()
+}
+
+func (fee *Feed) check() {
+	fee.beginRequest()
+	fee.Check(fee.revision)
+}
+
 func (fee *Feed) follow() {
+	fee.beginRequest()
 	fee.followedAt = time.Now()
 	fee.Follow(fee.revision)
 }
 
+func (fee *Feed) beginRequest() {
+	fee.requests++
+	fee.earliestEra = 0
+}
+
 func (fee *Feed) acceptAnswer() {
 	fee.confirmedAt = time.Now()
+	if fee.answer.Era != fee.era {
+		fee.era, fee.revision = fee.answer.Era, 0
+	}
+	fee.outdated = false
 	fee.revision = max(fee.revision, fee.answer.Revision)
 	if fee.answer.Configuration != nil {
 		fee.offer(fee.answer.Configuration, "store")
--- a/core/membership/rows.go
+++ b/core/membership/rows.go
@@ -74,6 +74,22 @@
 	lis.nextRow = now.Add(lis.jitter(retry))
 }
 
+// RepeatRow has this node's row written again at the next Tick, because the table may have lost it. After Leave it deletes
+// the row again, which may be there again.
+func (lis *List) RepeatRow() {
+	now := lis.begin()
+	if lis.leaving {
+		lis.counts.RowsDeleted++
+		lis.DeleteRow(lis.self.member.ID)
+		return
+	}
+	// Until it is written, the row is missing for nodes that start, as before the first write.
+	lis.rowWritten, lis.rowRetry, lis.nextRow = false, 0, now
+}
+
+// IsActingLeader reports whether this node acts for its data centre, and so deletes the rows of its dead members.
+func (lis *List) IsActingLeader() bool { return lis.isActingLeader() }
+
 // RowWritten reports that a write of this node's row has succeeded.
 func (lis *List) RowWritten() { lis.rowWritten = true }
 
--- a/io/crashlink/table.go
+++ b/io/crashlink/table.go
@@ -32,6 +32,28 @@
 	kept    map[uint64]bool
 	// expired holds the records of the table that are too old to count, without their crashes.
 	expired []record.Record
+	// restores counts the calls of Restored.
+	restores int
+}
+
+// Restored has the records that this node has changed written again, and those that it has deleted deleted again, after the
+// table came back from an older copy. It is called on the control thread.
+func (lin *Link) Restored() {
+	if lin.Table != nil {
+		lin.Table.restored(lin)
+	}
+}
+
+func (tab *Table) restored(lin *Link) {
+	tab.restores++
+	tab.written = 0
+	for fin, inTable := range tab.kept {
+		if !inTable && !lin.Gate.KnowsCrashes(fin) {
+			tab.expired = append(tab.expired, record.Record{Fingerprint: fin})
+		}
+		// What was deleted may be there again.
+		tab.kept[fin] = true
+	}
 }
 
 // tick starts the access that is due, if there is one.
@@ -75,10 +97,12 @@
 		return
 	}
 	tab.inFlight = true
+	restores := tab.restores
 	dispatcher.Start(lin.Dispatcher, "quarantine.written", tab.Timeout, func(ctx context.Context) (struct{}, error) {
 		return struct{}{}, tab.Write(ctx, records)
 	}, func(_ struct{}, err error) {
-		if !tab.ended(err) {
+		// A write that was under way when the table was restored may be lost.
+		if !tab.ended(err) || restores != tab.restores {
 			return
 		}
 		tab.written, tab.expired = upTo, nil
--- a/io/hostnode/configuration.go
+++ b/io/hostnode/configuration.go
@@ -38,6 +38,8 @@
 	Version      uint64                    `json:"version" cbor:"1,keyasint"`
 	Peer         netip.AddrPort            `json:"peer" cbor:"2,keyasint"`
 	Confirmation confirmation.Confirmation `json:"confirmation" cbor:"3,keyasint"`
+	// StoreEra is the latest era of the store that the sender knows of. Most nodes seldom call the store and learn it here.
+	StoreEra uint64 `json:"storeEra,omitempty" cbor:"8,keyasint,omitempty"`
 }
 
 // versionAnswer holds the version in force, or nil if it is not newer than that of the request, and the latest confirmation
@@ -45,23 +47,25 @@
 type versionAnswer struct {
 	Configuration *configuration.Configuration `json:"configuration,omitempty" cbor:"1,keyasint,omitempty"`
 	Confirmation  confirmation.Confirmation    `json:"confirmation" cbor:"2,keyasint"`
+	// StoreEra is the latest era of the store that the answering node knows of.
+	StoreEra uint64 `json:"storeEra,omitempty" cbor:"8,keyasint,omitempty"`
 }
 
 // setUpConfiguration connects the configuration feed with the store and the other nodes.
 func (nod *Node) setUpConfiguration() {
 	nod.feed.Read = func() {
-		dispatcher.Start(nod.dispatcher, "configuration.read", storeTimeout, nod.platform.ReadConfiguration, nod.feed.HandleAnswer)
+		dispatcher.Start(nod.dispatcher, "configuration.read", storeTimeout, nod.platform.ReadConfiguration, nod.feed.AnswerHandler())
 	}
 	nod.feed.Check = func(revision uint64) {
 		dispatcher.Start(nod.dispatcher, "configuration.checked", storeTimeout, func(ctx context.Context) (reading.Reading, error) {
 			return nod.platform.FollowConfiguration(ctx, revision, 0)
-		}, nod.feed.HandleAnswer)
+		}, nod.feed.AnswerHandler())
 	}
 	nod.feed.LongestWait = followWait
 	nod.feed.Follow = func(revision uint64) {
 		dispatcher.Start(nod.dispatcher, "configuration.changed", followWait+storeTimeout, func(ctx context.Context) (reading.Reading, error) {
 			return nod.platform.FollowConfiguration(ctx, revision, followWait)
-		}, nod.feed.HandleAnswer)
+		}, nod.feed.AnswerHandler())
 	}
 	nod.feed.Follows = func() bool { return nod.followers.IncludeSelf(nod.view.Load().Members) }
 	nod.followers.OnStandIn = func(standsIn bool, since time.Duration) {
@@ -148,7 +152,7 @@
 
 func (nod *Node) askVersionOf(address netip.AddrPort) {
 	asked := time.Now()
-	req := versionRequest{Version: nod.feed.Version(), Peer: nod.self.Peer, Confirmation: nod.confirmation()}
+	req := versionRequest{Version: nod.feed.Version(), Peer: nod.self.Peer, Confirmation: nod.confirmation(), StoreEra: nod.storeEra.Current()}
 	dispatcher.Start(nod.dispatcher, "configuration.heard", askTimeout, func(ctx context.Context) (versionAnswer, error) {
 		return peer.Ask[versionRequest, versionAnswer](ctx, nod.peerClient, address, askVersion, req)
 	}, func(ans versionAnswer, err error) {
@@ -156,6 +160,7 @@
 		if err != nil {
 			return
 		}
+		nod.hearStoreEra(ans.StoreEra)
 		if ans.Configuration != nil {
 			nod.feed.ReceiveVersion(ans.Configuration)
 		}
@@ -166,13 +171,14 @@
 // answerVersion returns the version in force if it is newer than the sender's. If it is older, this node asks the sender
 // for its version. Until it has that, the sender's confirmation says nothing about its own version.
 func (nod *Node) answerVersion(req versionRequest) versionAnswer {
+	nod.hearStoreEra(req.StoreEra)
 	own := nod.feed.Version()
 	if own < req.Version {
 		nod.askVersionOf(req.Peer)
 	} else {
 		nod.followers.RecordConfirmation(time.Now(), req.Confirmation)
 	}
-	ans := versionAnswer{Confirmation: nod.confirmation()}
+	ans := versionAnswer{Confirmation: nod.confirmation(), StoreEra: nod.storeEra.Current()}
 	if own > req.Version {
 		ans.Configuration = nod.feed.Current()
 	}
--- a/io/hostnode/fleet_test.go
+++ b/io/hostnode/fleet_test.go
@@ -88,6 +88,8 @@
 	// run, if set, executes the calls; without it each call is answered at once.
 	run  atomic.Pointer[func(ctx context.Context, cal call.Call) (answer.Answer, message.Message)]
 	runs atomic.Int64
+	// standin, if set, replaces the rows of the store kept in memory by those of the stand-in, over HTTP.
+	standin *standinStore
 	// timeout is that of the requests; 0 means two seconds.
 	timeout time.Duration
 	stop    context.CancelFunc
@@ -257,7 +259,11 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	hos.stop = cancel
-	hos.Node = hostnode.New(hos.settings, hos.platform(sto), log.New(io.Discard))
+	pla := hos.platform(sto)
+	if hos.standin != nil {
+		hos.standin.connect(t, hos, &pla)
+	}
+	hos.Node = hostnode.New(hos.settings, pla, log.New(io.Discard))
 	go func() {
 		hos.end <- hos.Run(ctx, hostnode.Handlers{Callers: hos, Announcements: http.NotFoundHandler(), Ready: http.NotFoundHandler()})
 	}()
--- a/io/hostnode/node.go
+++ b/io/hostnode/node.go
@@ -27,6 +27,7 @@
 	"flamingoreach/core/pick"
 	"flamingoreach/core/splitter"
 	"flamingoreach/core/stopwindow"
+	"flamingoreach/core/storeera"
 	"flamingoreach/core/tokenshare"
 	"flamingoreach/core/view"
 	"flamingoreach/io/crashlink"
@@ -85,6 +86,9 @@
 	versionAppliedAt atomic.Int64
 	// versionConfirmedAt is when the version in force was last known to be the newest in the store, in the same form.
 	versionConfirmedAt atomic.Int64
+	// storeEraKnown is one more than the latest era of the store that the control thread has observed, or 0 before the
+	// first. lateAnswers counts the store's answers of an earlier era.
+	storeEraKnown, lateAnswers atomic.Uint64
 
 	servedLog, refusedLog, gateLog *decisionlog.Log
 
@@ -121,6 +125,7 @@
 	members     *membership.List
 	memberLink  *memberlink.Link
 	feed        *configurationfeed.Feed
+	storeEra    *storeera.Era
 	followers   *followers.Followers
 	crashLink   *crashlink.Link
 	// hostsSeenAt maps the address of each host to the time at which it was last a live member.
@@ -152,6 +157,7 @@
 		peerServer:  peer.NewServer(),
 		localServer: localserver.New(),
 		feed:        configurationfeed.New(),
+		storeEra:    storeera.New(),
 		hostsSeenAt: map[netip.AddrPort]time.Time{},
 		ready:       make(chan struct{}),
 	}
@@ -178,6 +184,7 @@
 	nod.setUpServer()
 	nod.setUpMembers()
 	nod.setUpConfiguration()
+	nod.setUpStoreEra()
 	nod.setUpShares()
 	nod.setUpRuntime()
 	nod.registerGauges()
--- a/io/hostnode/platform.go
+++ b/io/hostnode/platform.go
@@ -29,6 +29,9 @@
 	// is ignored. Records without crashes are deleted.
 	ReadCrashRecords  func(ctx context.Context, service string, skipped func(key string, err error)) ([]record.Record, error)
 	WriteCrashRecords func(ctx context.Context, service string, records []record.Record) error
+	// RaiseStoreEra, if set, tells the store's client an era that this node has learnt from another node. The client drops
+	// answers of an earlier era, and reports the eras to Node.ReceiveStoreEra and Node.ReceiveLateAnswer.
+	RaiseStoreEra func(era uint64)
 	// Execute sends a call once to the backend server that the announcement describes.
 	Execute func(ctx context.Context, ann announcement.Announcement, cal call.Call, msg message.Message) (answer.Answer, message.Message)
 	// Sweep closes the connections to the backend server that were idle too long, and CloseIdle closes all idle ones.
--- /dev/null
+++ b/io/hostnode/restore_test.go
@@ -0,0 +1,183 @@
+package hostnode_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingoreach/core/localserver"
+	"flamingoreach/core/reason"
+	"flamingoreach/io/hostnode"
+	"flamingoreach/platform"
+	"flamingoreach/platform/standin"
+)
+
+// standinStore is the stand-in of the platform's store, with an endpoint for each host.
+type standinStore struct {
+	*standin.Store
+
+	endpoints []*standin.Endpoint
+}
+
+// connect gives a host an endpoint and makes its node use that.
+func (sto *standinStore) connect(t *testing.T, hos *host, pla *hostnode.Platform) {
+	t.Helper()
+	end := sto.NewEndpoint()
+	sto.endpoints = append(sto.endpoints, end)
+	server := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		if hos.storeUnreachable.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		end.ServeHTTP(wri, req)
+	}))
+	cli := platform.NewStore(netip.MustParseAddrPort(server.Listener.Addr().String()))
+	t.Cleanup(func() {
+		hos.stop()
+		cli.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	pla.ReadConfiguration, pla.FollowConfiguration = cli.ReadConfiguration, cli.FollowConfiguration
+	pla.ReadMembers, pla.WriteMember, pla.DeleteMember = cli.ReadMembers, cli.WriteMember, cli.DeleteMember
+	pla.ReadCrashRecords, pla.WriteCrashRecords = cli.ReadCrashRecords, cli.WriteCrashRecords
+	pla.RaiseStoreEra = cli.RaiseEra
+	cli.OnEra = func(era, known uint64) { hos.ReceiveStoreEra(era, known) }
+	cli.OnLateAnswer = func(era, known uint64) { hos.ReceiveLateAnswer(era, known) }
+}
+
+// put writes a configuration that knows one key.
+func (sto *standinStore) put(version uint64, known string) {
+	sto.PutConfiguration(standin.Configuration(version, "a.example", "quotes", standin.Account{Name: "bank-a", Keys: []string{known}, Rate: 1000, Burst: 1000}))
+}
+
+// restoreDuring restores a copy while the store serves nobody, and lets the operators write before it serves again.
+func (sto *standinStore) restoreDuring(restore, write func()) {
+	for _, end := range sto.endpoints {
+		end.SetFault(standin.Unavailable)
+	}
+	time.Sleep(50 * time.Millisecond)
+	restore()
+	write()
+	for _, end := range sto.endpoints {
+		end.SetFault(standin.NoFault)
+	}
+}
+
+// memberIDs returns the keys of the members' rows.
+func (sto *standinStore) memberIDs(t *testing.T) (ids []string) {
+	t.Helper()
+	rec := httptest.NewRecorder()
+	sto.NewEndpoint().ServeHTTP(rec, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/v1/rows-get?tableName=flamingoreachMembers", http.NoBody))
+	var answer struct{ Rows []struct{ Key string } }
+	require.NoError(t, json.Unmarshal(rec.Body.Bytes(), &answer))
+	for _, row := range answer.Rows {
+		ids = append(ids, row.Key)
+	}
+	return ids
+}
+
+// startOn runs one node for each service given with the stand-in.
+func startOn(t *testing.T, sto *standinStore, first int, services ...string) []*host {
+	t.Helper()
+	var hosts []*host
+	for index, service := range services {
+		hos := &host{settings: testSettings(fmt.Sprintf("h%d", first+index), service), end: make(chan error, 1), standin: sto}
+		hos.start(t, newStore(testConfiguration(1)))
+		hosts = append(hosts, hos)
+	}
+	return hosts
+}
+
+func newRestorable() *standinStore { return &standinStore{Store: standin.NewStore()} }
+
+// requireFleetSoon is like requireFleet, for hosts whose backend servers go on sending heartbeats.
+func requireFleetSoon(t *testing.T, hosts []*host) {
+	t.Helper()
+	number := uint64(1)
+	require.Eventually(t, func() bool {
+		number++
+		known := true
+		for _, hos := range hosts {
+			require.NoError(t, hos.ReceiveAnnouncement(t.Context(), hos.announcement(localserver.Serving, number)))
+			vie := hos.View()
+			known = known && len(vie.Members) == len(hosts) && len(vie.Serving("quotes"))+len(vie.Serving("confirms")) == len(hosts)
+		}
+		return known
+	}, testTime, 200*time.Millisecond)
+}
+
+func requireVersion(t *testing.T, hosts []*host, version uint64) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		return !slices.ContainsFunc(hosts, func(hos *host) bool {
+			cfg := hos.View().Configuration
+			return cfg == nil || cfg.Version != version
+		})
+	}, testTime, 10*time.Millisecond, "version %d", version)
+}
+
+// Guards against followers that go on after the revision that they know, which the restored store has given out again for
+// a change that they therefore never see.
+func TestAChangeIsNotMissedBecauseItsRevisionWasGivenOutAgain(t *testing.T) {
+	sto := newRestorable()
+	sto.put(1, key)
+	hosts := startOn(t, sto, 0, "quotes", "confirms")
+	requireFleet(t, hosts)
+	restore := sto.Copy()
+	sto.put(2, key)
+	requireVersion(t, hosts, 2)
+	sto.restoreDuring(restore, func() { sto.put(3, "other") })
+	requireVersion(t, hosts, 3)
+}
+
+// Guards against a node whose row the store has lost, so that nodes which start later never find it, and against rows that
+// came back of a node that has left.
+func TestHostsThatStartAroundARestoreFindEachOther(t *testing.T) {
+	sto := newRestorable()
+	sto.put(1, key)
+	stopped := startOn(t, sto, 0, "quotes")[0]
+	require.Eventually(t, func() bool { return len(sto.memberIDs(t)) == 1 }, testTime, 10*time.Millisecond)
+	restore := sto.Copy()
+	hosts := startOn(t, sto, 1, "quotes", "confirms")
+	requireFleet(t, append(hosts, stopped))
+	former := sto.memberIDs(t)
+	stopped.stop()
+	require.NoError(t, <-stopped.end)
+	require.Eventually(t, func() bool { return len(sto.memberIDs(t)) == 2 }, testTime, 10*time.Millisecond)
+	sto.restoreDuring(restore, func() {})
+	require.Len(t, sto.memberIDs(t), 1)
+	hosts = append(hosts, startOn(t, sto, 3, "quotes", "confirms")...)
+	requireFleetSoon(t, hosts)
+	require.Eventually(t, func() bool {
+		ids := sto.memberIDs(t)
+		return len(ids) == len(hosts) && !slices.Equal(ids, former)
+	}, testTime, 20*time.Millisecond)
+}
+
+// Guards against a withdrawn key that works again while the store has the version before its withdrawal.
+func TestAWithdrawnKeyStaysWithdrawnWhileTheStoreHasAnOlderVersion(t *testing.T) {
+	sto := newRestorable()
+	sto.put(1, key)
+	hosts := startOn(t, sto, 0, "quotes", "confirms")
+	requireFleet(t, hosts)
+	restore := sto.Copy()
+	sto.put(2, "other")
+	requireVersion(t, hosts, 2)
+	sto.restoreDuring(restore, func() {})
+	started := startOn(t, sto, 2, "quotes")
+	requireVersion(t, started, 2)
+	for _, hos := range append(hosts, started...) {
+		require.NoError(t, hos.ReceiveAnnouncement(t.Context(), hos.announcement(localserver.Serving, 2)))
+		ans, _ := hos.ask(t.Context(), "a", "/quotes/1", bearer)
+		require.Equal(t, reason.KeyUnknown, ans.Refusal.Reason)
+	}
+	sto.put(3, key)
+	requireVersion(t, append(hosts, started...), 3)
+}
--- a/io/memberlink/memberlink.go
+++ b/io/memberlink/memberlink.go
@@ -21,6 +21,9 @@
 	// rowsRetryInterval is the time between two reads while the table fails. It keeps the requests of a whole fleet
 	// within the rates that it may use.
 	rowsRetryInterval = time.Second
+	// recentTime is how long after its first row a node may be missing in an older copy of the table. Copies are up to 20 s
+	// old, and a node may learn of the restore seconds later.
+	recentTime = time.Minute
 )
 
 // Link sends and receives the messages of one membership list and reads and writes its rows. The node sets its function
@@ -45,6 +48,11 @@
 	// ownRowTried is set once the first write of this node's own row has ended, even if it failed. ownRowWritten is set once
 	// one has succeeded.
 	ownRowTried, ownRowWritten bool
+	// firstWritten is when this node's own row was first written. restores counts the calls of Restored; mustReread is set
+	// from such a call until the rows were read after the own row was written again.
+	firstWritten time.Time
+	restores     int
+	mustReread   bool
 	// lastRead is when the last read of the rows began, readFailed whether it failed.
 	lastRead   time.Time
 	readFailed bool
@@ -56,6 +64,18 @@
 // called on the control thread.
 func (lin *Link) Joined() bool { return lin.joined }
 
+// Restored has the own row written again after the table came back from an older copy. If the copy may be from before this
+// node's first row, nodes that have started since have missed it, so the rows are read once the own one is there again: of
+// two such nodes at least one then finds the other. A node that acts for its data centre reads them too, and deletes those
+// of members that have died or left. It is called on the control thread.
+func (lin *Link) Restored() {
+	lin.restores++
+	lin.ownRowWritten = false
+	recent := lin.firstWritten.IsZero() || time.Since(lin.firstWritten) < recentTime
+	lin.mustReread = lin.mustReread || recent || lin.List.IsActingLeader()
+	lin.List.RepeatRow()
+}
+
 // relayedProbe is a probe that another node relays to its target.
 type relayedProbe struct {
 	Target netip.AddrPort `json:"target"`
@@ -79,13 +99,18 @@
 		})
 	}
 	lis.WriteRow = func(row memberrow.Row) {
+		restores := lin.restores
 		lin.write("membership.rowWritten", func(ctx context.Context) error { return lin.WriteRow(ctx, row) }, func(err error) {
 			lin.ownRowTried = true
-			if err != nil {
+			// A write that was under way when the table was restored may be lost.
+			if err != nil || restores != lin.restores {
 				lis.RowFailed()
 				return
 			}
 			lin.ownRowWritten = true
+			if lin.firstWritten.IsZero() {
+				lin.firstWritten = time.Now()
+			}
 			lis.RowWritten()
 		})
 	}
@@ -142,13 +167,15 @@
 		return
 	}
 	lin.lastRead, lin.readFailed = time.Now(), false
-	joins := lin.ownRowWritten
+	joins, restores := lin.ownRowWritten, lin.restores
 	dispatcher.Start(lin.Dispatcher, "membership.joined", lin.StoreTimeout, lin.ReadRows, func(rows []memberrow.Row, err error) {
 		if err != nil {
 			lin.readFailed = true
 			return
 		}
-		lin.joined = lin.joined || joins
+		if joins && restores == lin.restores {
+			lin.joined, lin.mustReread = true, false
+		}
 		if lin.OnRowsRead != nil {
 			lin.OnRowsRead(rows)
 		}
@@ -161,7 +188,7 @@
 	switch {
 	case lin.lastRead.IsZero():
 		return lin.ownRowTried
-	case lin.readFailed, !lin.joined && lin.ownRowWritten:
+	case lin.readFailed, (!lin.joined || lin.mustReread) && lin.ownRowWritten:
 		return since >= rowsRetryInterval
 	case lin.RereadInterval == nil:
 		return false
