Test restores and let the soak inject them

Cause: restores overlap with starts, drains, crashes and changes of the configuration, which no test covered. Members that started before the restore delete again the rows of those that have left, also if a newcomer acts for the data centre.

--- a/core/membership/list.go
+++ b/core/membership/list.go
@@ -92,7 +92,9 @@
 	// rowWritten is set once this node's row was written; before, rowRetry is the time until the write is tried again.
 	rowWritten bool
 	rowRetry   time.Duration
-	nextExpiry time.Time
+	// repeatsDeletions is set while this node deletes rows of members that have died or left again, see RepeatRow.
+	repeatsDeletions bool
+	nextExpiry       time.Time
 }
 
 var backendServer = machine.MustNew(charts.MustLoad("backendServer"),
--- a/core/membership/rows.go
+++ b/core/membership/rows.go
@@ -24,6 +24,9 @@
 	// maxClockLead is how far ahead of this host's clock that of a row's writer may be. A row from further ahead would be
 	// taken to be fresh for as long.
 	maxClockLead = time.Minute
+	// newcomerTime is how long after its start a member may not have been there before the table came back from an older copy:
+	// other nodes learn of that within 8 s, and it then has no part in cleaning up.
+	newcomerTime = 10 * time.Second
 	// jitterSteps is the number of different values of a random time.
 	jitterSteps = 1000
 )
@@ -51,6 +54,9 @@
 			lis.DeleteRow(row.Member.ID)
 		}
 	}
+	if lis.rowWritten {
+		lis.repeatsDeletions = false
+	}
 	lis.contactMembers(found, now)
 }
 
@@ -60,7 +66,7 @@
 func (lis *List) shouldDeleteRow(row memberrow.Row) bool {
 	ent, known := lis.entries[row.Member.ID]
 	return known && !ent.isLive() && row.Member.Incarnation <= ent.member.Incarnation &&
-		ent.member.DataCentre == lis.self.member.DataCentre && lis.isActingLeader()
+		ent.member.DataCentre == lis.self.member.DataCentre && (lis.repeatsDeletions || lis.isActingLeader())
 }
 
 // RowFailed reports that the last write of this node's row failed or has an unknown result.
@@ -75,20 +81,34 @@
 }
 
 // RepeatRow has this node's row written again at the next Tick, because the table may have lost it. After Leave it deletes
-// the row again, which may be there again.
-func (lis *List) RepeatRow() {
+// the row again, which may be there again. It reports whether this node must read the rows, because it acts for its data
+// centre: at the next call of RowsRead after its row was written it deletes the rows of members that have died or left.
+func (lis *List) RepeatRow() (mustRead bool) {
 	now := lis.begin()
 	if lis.leaving {
 		lis.counts.RowsDeleted++
 		lis.DeleteRow(lis.self.member.ID)
-		return
+		return false
 	}
 	// Until it is written, the row is missing for nodes that start, as before the first write.
 	lis.rowWritten, lis.rowRetry, lis.nextRow = false, 0, now
+	lis.repeatsDeletions = lis.repeatsDeletions || lis.isActingLeader() || lis.isFirstButNewcomers(now)
+	return lis.repeatsDeletions
 }
 
-// IsActingLeader reports whether this node acts for its data centre, and so deletes the rows of its dead members.
-func (lis *List) IsActingLeader() bool { return lis.isActingLeader() }
+// isFirstButNewcomers reports whether this node would act for its data centre without the members that have just started
+// and do not know who has died or left.
+func (lis *List) isFirstButNewcomers(now time.Time) bool {
+	for _, ent := range lis.dataCentre(lis.self.member.DataCentre).live {
+		if ent == lis.self {
+			return true
+		}
+		if now.Sub(ent.member.Started) > newcomerTime {
+			return false
+		}
+	}
+	return false
+}
 
 // RowWritten reports that a write of this node's row has succeeded.
 func (lis *List) RowWritten() { lis.rowWritten = true }
--- a/io/crashlink/crashlink_test.go
+++ b/io/crashlink/crashlink_test.go
@@ -62,6 +62,11 @@
 }
 
 func newNode(t *testing.T) *node {
+	t.Helper()
+	return newNodeWith(t, nil)
+}
+
+func newNodeWith(t *testing.T, table *crashlink.Table) *node {
 	t.Helper()
 	nod := &node{gate: gate.New(gatepolicy.Policy{QuarantineTime: time.Minute, RetrySuspects: true})}
 	cli, ser := peer.NewPooledClient(nil), peer.NewServer()
@@ -69,7 +74,7 @@
 	cli.OnLeader = func(string, leader.Leader) {}
 	ser.Leader, ser.OnLeader = cli.Leader, cli.OnLeader
 	dis := &dispatcher.Dispatcher{Control: control.New(64), Tasks: tasks.New(8), Log: log.New(io.Discard)}
-	nod.link = &crashlink.Link{Dispatcher: dis, Client: cli, Server: ser, Gate: nod.gate, Peers: nod.knownPeers, AskTimeout: time.Second}
+	nod.link = &crashlink.Link{Dispatcher: dis, Client: cli, Server: ser, Gate: nod.gate, Peers: nod.knownPeers, AskTimeout: time.Second, Table: table}
 	nod.link.Register()
 	handler := ser.Handler()
 	server := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
--- a/io/hostnode/restore_test.go
+++ b/io/hostnode/restore_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -71,16 +72,35 @@
 }
 
 // memberIDs returns the keys of the members' rows.
-func (sto *standinStore) memberIDs(t *testing.T) (ids []string) {
+func (sto *standinStore) memberIDs(t *testing.T) []string {
+	t.Helper()
+	return sto.keys(t, "flamingoreachMembers")
+}
+
+// keys returns the keys of a table.
+func (sto *standinStore) keys(t *testing.T, table string) (keys []string) {
 	t.Helper()
 	rec := httptest.NewRecorder()
-	sto.NewEndpoint().ServeHTTP(rec, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/v1/rows-get?tableName=flamingoreachMembers", http.NoBody))
+	sto.NewEndpoint().ServeHTTP(rec, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/v1/rows-get?tableName="+table, http.NoBody))
 	var answer struct{ Rows []struct{ Key string } }
 	require.NoError(t, json.Unmarshal(rec.Body.Bytes(), &answer))
 	for _, row := range answer.Rows {
-		ids = append(ids, row.Key)
+		keys = append(keys, row.Key)
+	}
+	return keys
+}
+
+// metric returns the value of one of the host's metrics.
+func (hos *host) metric(t *testing.T, name string) string {
+	t.Helper()
+	rec := httptest.NewRecorder()
+	hos.Metrics().ServeHTTP(rec, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/metrics", http.NoBody))
+	for line := range strings.Lines(rec.Body.String()) {
+		if value, found := strings.CutPrefix(line, name+" "); found {
+			return strings.TrimSpace(value)
+		}
 	}
-	return ids
+	return ""
 }
 
 // startOn runs one node for each service given with the stand-in.
@@ -181,3 +201,64 @@
 	sto.put(3, key)
 	requireVersion(t, append(hosts, started...), 3)
 }
+
+// Guards against a host that the store turns away and that never hears of the new era, and against one whose confirmed drain
+// is undone by a restore.
+func TestAHostThatTheStoreTurnsAwayHearsOfTheNewEra(t *testing.T) {
+	sto := newRestorable()
+	sto.put(1, key)
+	hosts := startOn(t, sto, 0, "quotes", "quotes", "confirms")
+	requireFleet(t, hosts)
+	restore := sto.Copy()
+	hosts[1].storeUnreachable.Store(true)
+	require.NoError(t, hosts[2].ReceiveAnnouncement(t.Context(), hosts[2].announcement(localserver.Draining, 2)))
+	sto.restoreDuring(restore, func() {})
+	for _, hos := range hosts {
+		require.Eventually(t, func() bool { return hos.metric(t, "flamingoreach_store_era") == "2" }, testTime, 20*time.Millisecond)
+	}
+	ans, _ := hosts[0].ask(t.Context(), "a", "/confirms/1", bearer)
+	require.NotNil(t, ans.Refusal)
+	require.Zero(t, hosts[2].runs.Load())
+	hosts[1].storeUnreachable.Store(false)
+	require.Eventually(t, func() bool { return len(sto.memberIDs(t)) == len(hosts) }, testTime, 20*time.Millisecond)
+}
+
+// Guards against hosts that all start around a restore, before which some of them had read the rows and written their own.
+func TestAStartOfAllHostsDuringARestore(t *testing.T) {
+	sto := newRestorable()
+	sto.put(1, key)
+	restore := sto.Copy()
+	hosts := startOn(t, sto, 0, "quotes", "confirms")
+	require.Eventually(t, func() bool { return len(sto.memberIDs(t)) == len(hosts) }, testTime, time.Millisecond)
+	sto.restoreDuring(restore, func() {})
+	hosts = append(hosts, startOn(t, sto, 2, "quotes", "confirms")...)
+	requireFleetSoon(t, hosts)
+}
+
+// Guards against a crashing request that is unknown after the loss of all nodes, because the restored store had lost its
+// record.
+func TestARestoreDoesNotReleaseACrashingRequest(t *testing.T) {
+	sto := newRestorable()
+	sto.put(1, key)
+	hosts := startOn(t, sto, 0, "quotes", "quotes")
+	requireFleet(t, hosts)
+	restore := sto.Copy()
+	crashes := crashTwice(t, hosts)
+	require.Eventually(t, func() bool { return len(sto.keys(t, "flamingoreachCrashes")) == 1 }, testTime, 10*time.Millisecond)
+	sto.restoreDuring(restore, func() {})
+	require.Empty(t, sto.keys(t, "flamingoreachCrashes"))
+	require.Eventually(t, func() bool { return len(sto.keys(t, "flamingoreachCrashes")) == 1 }, testTime, 10*time.Millisecond)
+	for _, hos := range hosts {
+		hos.stop()
+	}
+	for _, hos := range hosts {
+		require.NoError(t, <-hos.end)
+		hos.start(t, newStore(testConfiguration(1)))
+	}
+	for _, hos := range hosts {
+		require.Eventually(t, hos.AcceptsCalls, testTime, 20*time.Millisecond)
+		ans, _ := hos.ask(t.Context(), "again", "/quotes/poison", bearer)
+		require.Equal(t, reason.Quarantined, ans.Refusal.Reason)
+	}
+	require.Equal(t, int64(2), crashes.Load())
+}
--- a/io/memberlink/memberlink.go
+++ b/io/memberlink/memberlink.go
@@ -72,8 +72,8 @@
 	lin.restores++
 	lin.ownRowWritten = false
 	recent := lin.firstWritten.IsZero() || time.Since(lin.firstWritten) < recentTime
-	lin.mustReread = lin.mustReread || recent || lin.List.IsActingLeader()
-	lin.List.RepeatRow()
+	mustRead := lin.List.RepeatRow()
+	lin.mustReread = lin.mustReread || recent || mustRead
 }
 
 // relayedProbe is a probe that another node relays to its target.
@@ -102,8 +102,11 @@
 		restores := lin.restores
 		lin.write("membership.rowWritten", func(ctx context.Context) error { return lin.WriteRow(ctx, row) }, func(err error) {
 			lin.ownRowTried = true
-			// A write that was under way when the table was restored may be lost.
-			if err != nil || restores != lin.restores {
+			// A write that was under way when the table was restored may be lost; the next one is due.
+			if restores != lin.restores {
+				return
+			}
+			if err != nil {
 				lis.RowFailed()
 				return
 			}
--- a/io/memberlink/memberlink_test.go
+++ b/io/memberlink/memberlink_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,7 +15,9 @@
 	"flamingoreach/core/control"
 	"flamingoreach/core/member"
 	"flamingoreach/core/membership"
+	"flamingoreach/core/membership/exchange"
 	"flamingoreach/core/membership/memberrow"
+	"flamingoreach/core/membership/probe"
 	"flamingoreach/io/dispatcher"
 	"flamingoreach/io/memberlink"
 	"flamingoreach/io/peer"
@@ -68,3 +71,65 @@
 		})
 	}
 }
+
+// Guards against a node that starts around a restore and that others never find: its row was lost, or a write under way
+// counts although it was. Nodes that have been there for longer are in the copy and do not read all rows again.
+func TestAfterARestoreTheOwnRowIsWrittenAndRecentNodesReadTheRows(t *testing.T) {
+	for name, test := range map[string]struct {
+		restoredAt time.Duration
+		acts       bool
+		steps      []string
+	}{
+		"recent":           {30 * time.Second, false, []string{"write", "read", "write", "read"}},
+		"write under way":  {500 * time.Millisecond, false, []string{"write", "write", "read", "read"}},
+		"long there":       {70 * time.Second, false, []string{"write", "read", "write"}},
+		"long there, acts": {70 * time.Second, true, []string{"write", "read", "write", "read"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var mut sync.Mutex
+				var steps []string
+				step := func(name string) {
+					mut.Lock()
+					defer mut.Unlock()
+					steps = append(steps, name)
+				}
+				dis := &dispatcher.Dispatcher{Control: control.New(16), Tasks: tasks.New(16), Log: log.New(io.Discard)}
+				link := &memberlink.Link{
+					List: membership.New(member.Member{ID: "b", DataCentre: "x", Peer: netip.MustParseAddrPort("10.0.0.1:1")}, nil), Dispatcher: dis,
+					Client: peer.NewPooledClient(nil), Server: peer.NewServer(),
+					WriteRow: func(context.Context, memberrow.Row) error {
+						step("write")
+						time.Sleep(time.Second)
+						return nil
+					},
+					ReadRows: func(context.Context) ([]memberrow.Row, error) {
+						step("read")
+						return nil, nil
+					},
+					DeleteRow:  func(context.Context, string) error { return nil },
+					AskTimeout: time.Second, StoreTimeout: 2 * time.Second,
+				}
+				link.Register()
+				link.List.SendProbe = func(uint64, netip.AddrPort, probe.Probe) {}
+				link.List.SendExchange = func(netip.AddrPort, exchange.Exchange) {}
+				link.List.SendIndirectProbe = func(uint64, netip.AddrPort, netip.AddrPort, probe.Probe) {}
+				other := member.Member{ID: "a", DataCentre: "x", Peer: netip.MustParseAddrPort("10.0.0.2:1"), Incarnation: 1}
+				ctx, cancel := context.WithTimeout(t.Context(), 80*time.Second)
+				defer cancel()
+				time.AfterFunc(test.restoredAt, func() {
+					dis.Control.Offer(dispatcher.Event("restored", nil, func() {
+						if !test.acts {
+							link.List.RowsRead([]memberrow.Row{{Member: other, Refreshed: time.Now()}})
+						}
+						link.Restored()
+					}))
+				})
+				go func() { _ = dis.Tasks.Run(ctx) }()
+				_ = dis.Control.Run(ctx)
+				synctest.Wait()
+				require.Equal(t, test.steps, steps)
+			})
+		})
+	}
+}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -62,15 +62,9 @@
 		}},
 		{"storeForAll", func(ctx context.Context, fle *Fleet, _ *host, ran *rand.Rand) {
 			storeFault := []standin.Fault{standin.Unavailable, standin.NoAnswer, standin.ConnectionReset, standin.SlowAnswer}[ran.IntN(4)]
-			for _, hos := range fle.hosts {
-				hos.recordFault()
-				hos.endpoint.SetFault(storeFault)
-			}
+			fle.setStoreFault(storeFault)
 			dispatcher.Wait(ctx, randomDuration(ran, 3*time.Second))
-			for _, hos := range fle.hosts {
-				hos.endpoint.SetFault(standin.NoFault)
-				hos.recordFault()
-			}
+			fle.setStoreFault(standin.NoFault)
 		}},
 		{"callersLink", func(ctx context.Context, _ *Fleet, hos *host, ran *rand.Rand) {
 			hos.callersLink.disturb(ctx, ran, 2*time.Second)
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -30,9 +30,13 @@
 	store   *standin.Store
 	ledger  *ledger
 	hosts   []*host
+	// restoring is held while the store comes back from an older copy.
+	restoring sync.Mutex
 
 	mut     sync.Mutex
 	version uint64
+	// written is the newest configuration that was written.
+	written []byte
 	// moves counts the versions that changed the service of the moving route; movedAt is the time at which the last of them
 	// was written.
 	moves   int
@@ -93,9 +97,10 @@
 	for _, valid := range fle.keys {
 		keys = append(keys, valid.text)
 	}
-	fle.store.PutConfiguration(standin.Configuration(fle.version, requestHost, fle.movingTo(),
+	fle.written = standin.Configuration(fle.version, requestHost, fle.movingTo(),
 		standin.Account{Name: accountName, Keys: keys, Rate: ampleRate, Burst: ampleRate},
-		standin.Account{Name: greedyName, Keys: []string{greedyKey}, Rate: greedyRate, Burst: greedyRate}))
+		standin.Account{Name: greedyName, Keys: []string{greedyKey}, Rate: greedyRate, Burst: greedyRate})
+	fle.store.PutConfiguration(fle.written)
 }
 
 // changeConfiguration withdraws a key, grants another one and changes the service of the moving route.
--- a/soak/run.go
+++ b/soak/run.go
@@ -18,6 +18,8 @@
 	// faultGap is the argument of randomDuration for the time between the beginnings of two faults.
 	faultGap     = 800 * time.Millisecond
 	startTimeout = 20 * time.Second
+	// Of restoreEvery faults one comes with a restore of the store, on average.
+	restoreEvery = 5
 	// maxConcurrentFaults is the largest number of faults that overlap.
 	maxConcurrentFaults = 3
 )
@@ -86,6 +88,8 @@
 // returns their descriptions.
 func (fle *Fleet) injectFaults(ctx context.Context, pla Plan) []string {
 	ran := rand.New(rand.NewPCG(pla.Seed, 0))
+	// Restores come in addition and from a source of their own, so that the other faults of a seed stay what they were.
+	restores := rand.New(rand.NewPCG(pla.Seed, 1))
 	kinds := faults()
 	began := time.Now()
 	slots := make(chan struct{}, maxConcurrentFaults)
@@ -101,6 +105,11 @@
 			defer func() { <-slots }()
 			fau.inject(ctx, fle, hos, faultRandom)
 		})
+		if restores.IntN(restoreEvery) == 0 {
+			injected = append(injected, describe(time.Since(began), restoreStore, hos))
+			restoreRandom := rand.New(rand.NewPCG(restores.Uint64(), 0))
+			running.Go(func() { restoreStore.inject(ctx, fle, hos, restoreRandom) })
+		}
 		dispatcher.Wait(ctx, randomDuration(ran, faultGap))
 	}
 	running.Wait()
