--- a/io/crashlink/table.go
+++ b/io/crashlink/table.go
@@ -36,7 +36,7 @@
 	restores int
 }
 
-// Restored has the records that this node has changed written again, and those that it has deleted deleted again, after the
+// Restored writes the records that this node has changed again, and deletes those again that it has deleted, after the
 // table came back from an older copy. It is called on the control thread.
 func (lin *Link) Restored() {
 	if lin.Table != nil {
--- a/soak/run.go
+++ b/soak/run.go
@@ -74,6 +74,9 @@
 	if err := fle.awaitService(ctx, recoveryTimeout); err != nil {
 		fle.ledger.addViolation("recovery", "%v", err)
 	}
+	// While faults go on, a restart or the next change soon hides a change that was missed. After the last one nothing does.
+	fle.restoreStore(ctx, rand.New(rand.NewPCG(pla.Seed, 2)), true)
+	dispatcher.Wait(ctx, lastChangeTime)
 	stop()
 	loops.Wait()
 	for _, hos := range fle.hosts {
