Name a test and explain newcomerTime in plain words

Cause: a test name had "relaid" for "relied", and the comment of newcomerTime did not say what is measured. Change: the name and the comment only. Result: go test -race -run Restore ./core/configurationfeed ./core/membership passes.

--- a/core/configurationfeed/restore_test.go
+++ b/core/configurationfeed/restore_test.go
@@ -55,7 +55,7 @@
 }
 
 // Guards against a node that later follows in place of others with the revision of an earlier era.
-func TestANodeThatRelaidOnOthersDuringARestoreReadsTheWholeBeforeItFollows(t *testing.T) {
+func TestANodeThatReliedOnOthersDuringARestoreReadsTheWholeBeforeItFollows(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var log []string
 		fee := newFeed(&log)
--- a/core/membership/rows.go
+++ b/core/membership/rows.go
@@ -24,8 +24,8 @@
 	// maxClockLead is how far ahead of this host's clock that of a row's writer may be. A row from further ahead would be
 	// taken to be fresh for as long.
 	maxClockLead = time.Minute
-	// newcomerTime is how long after its start a member may not have been there before the table came back from an older copy:
-	// other nodes learn of that within 8 s, and it then has no part in cleaning up.
+	// newcomerTime is the age up to which a member may have started after the table came back from an older copy. Such a
+	// member does not clean up. Other nodes learn of the restore within 8 s, and act up to 2 s later.
 	newcomerTime = 10 * time.Second
 	// jitterSteps is the number of different values of a random time.
 	jitterSteps = 1000
