Merge the store's era

A departure is written again when the era rises, like members' rows and crash records; TestADepartureIsWrittenAgainAfterARestoreOfTheStore fails without that.

--- a/core/configurationfeed/feed.go
+++ b/core/configurationfeed/feed.go
@@ -45,9 +45,16 @@
 
 	state    string
 	revision uint64
-	// era is that of the answer with which the revision was last set.
-	era     uint64
-	current *configuration.Configuration
+	// era is the store's era that gave out the revision. outdated is set once a later one is known: changes after the
+	// revision are then not all changes.
+	era      uint64
+	outdated bool
+	// earliestEra is the era from which on the answer to the pending request counts: one that became known since the request
+	// was sent.
+	earliestEra uint64
+	// requests counts the requests. The answer to an earlier one than the latest is dropped.
+	requests uint64
+	current  *configuration.Configuration
 	// evacuations is what is known of the evacuated data centres.
 	evacuations *record.Record
 	answer      reading.Reading
@@ -60,14 +67,16 @@
 }
 
 var chart = machine.MustNew(charts.MustLoad("configurationFeed"),
-	[]string{"due", "read", "changed", "failed", "expired"},
+	[]string{"due", "read", "changed", "failed", "expired", "restored", "late"},
 	map[string]func(*Feed) bool{
-		"follows": func(fee *Feed) bool { return fee.Follows() },
-		"mayRely": func(fee *Feed) bool { return fee.current != nil && !fee.Follows() },
+		"mustRead": func(fee *Feed) bool { return fee.outdated && fee.Follows() },
+		"follows":  func(fee *Feed) bool { return fee.Follows() },
+		"mayRely":  func(fee *Feed) bool { return fee.current != nil && !fee.Follows() },
 	},
 	map[string]func(*Feed){
-		"read":            func(fee *Feed) { fee.Read() },
-		"check":           func(fee *Feed) { fee.Check(fee.revision) },
+		"read":            (*Feed).read,
+		"check":           (*Feed).check,
+		"discard":         func(fee *Feed) { fee.requests++ },
 		"follow":          (*Feed).follow,
 		"acceptAnswer":    (*Feed).acceptAnswer,
 		"markReachable":   (*Feed).markReachable,
@@ -118,8 +127,27 @@
 	}
 }
 
-// HandleAnswer handles the store's answer to the pending request. Evacuations in an answer with an error hold: the
-// configuration beside them is invalid.
+// AnswerHandler returns a function that passes the answer to the latest request to HandleAnswer, unless the feed has
+// discarded that request by then.
+func (fee *Feed) AnswerHandler() func(answer reading.Reading, err error) {
+	request := fee.requests
+	return func(answer reading.Reading, err error) {
+		if request == fee.requests {
+			fee.HandleAnswer(answer, err)
+		}
+	}
+}
+
+// EraRose reports that the store came back from an older copy and gives out revisions again. The feed reads the whole
+// configuration again before it follows the store on.
+func (fee *Feed) EraRose(era uint64) {
+	fee.outdated, fee.earliestEra = true, era
+	fee.fire("restored")
+}
+
+// HandleAnswer handles the store's answer to the pending request. Changes after a revision of another era are not
+// complete; they count as a notice of that era. Evacuations in an answer with an error hold: the configuration beside them
+// is invalid.
 func (fee *Feed) HandleAnswer(answer reading.Reading, err error) {
 	fee.answer, fee.err = answer, err
 	fee.recordEvacuations()
@@ -128,6 +156,10 @@
 		fee.fire("expired")
 	case err != nil:
 		fee.fire("failed")
+	case answer.Era < fee.earliestEra:
+		fee.fire("late")
+	case fee.state != "reading" && fee.revision > 0 && answer.Era != fee.era:
+		fee.EraRose(answer.Era)
 	case fee.state == "reading":
 		fee.fire("read")
 	default:
@@ -152,15 +184,34 @@
 	}
 }
 
+func (fee *Feed) read() {
+	fee.beginRequest()
+	fee.Read()
+}
+
+func (fee *Feed) check() {
+	fee.beginRequest()
+	fee.Check(fee.revision)
+}
+
 func (fee *Feed) follow() {
+	fee.beginRequest()
 	fee.followedAt = time.Now()
 	fee.Follow(fee.revision)
 }
 
+func (fee *Feed) beginRequest() {
+	fee.requests++
+	fee.earliestEra = 0
+}
+
 func (fee *Feed) acceptAnswer() {
 	fee.confirmedAt = time.Now()
+	if fee.answer.Era != fee.era {
+		fee.era, fee.revision = fee.answer.Era, 0
+	}
+	fee.outdated = false
 	fee.revision = max(fee.revision, fee.answer.Revision)
-	fee.era = fee.answer.Era
 	if fee.answer.Configuration != nil {
 		fee.offer(fee.answer.Configuration, "store")
 	}
--- a/io/crashlink/crashlink_test.go
+++ b/io/crashlink/crashlink_test.go
@@ -67,10 +67,10 @@
 
 func newNode(t *testing.T) *node {
 	t.Helper()
-	return newNodeWithTable(t, nil)
+	return newNodeWith(t, nil)
 }
 
-func newNodeWithTable(t *testing.T, tab *crashlink.Table) *node {
+func newNodeWith(t *testing.T, table *crashlink.Table) *node {
 	t.Helper()
 	nod := &node{gate: gate.New(gatepolicy.Policy{QuarantineTime: time.Minute, RetrySuspects: true})}
 	cli, ser := peer.NewPooledClient(nil), peer.NewServer()
@@ -78,7 +78,7 @@
 	cli.OnLeader = func(string, leader.Leader) {}
 	ser.Leader, ser.OnLeader = cli.Leader, cli.OnLeader
 	dis := &dispatcher.Dispatcher{Control: control.New(64), Tasks: tasks.New(8), Log: log.New(io.Discard)}
-	nod.link = &crashlink.Link{Dispatcher: dis, Client: cli, Server: ser, Gate: nod.gate, Peers: nod.knownPeers, AskTimeout: time.Second, Table: tab}
+	nod.link = &crashlink.Link{Dispatcher: dis, Client: cli, Server: ser, Gate: nod.gate, Peers: nod.knownPeers, AskTimeout: time.Second, Table: table}
 	nod.link.Register()
 	handler := ser.Handler()
 	server := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
@@ -198,7 +198,7 @@
 		defer mut.Unlock()
 		return len(rows[fin].Crashes) > 0
 	}
-	nod := newNodeWithTable(t, &crashlink.Table{
+	nod := newNodeWith(t, &crashlink.Table{
 		Read: func(context.Context) ([]record.Record, error) { return nil, nil },
 		Write: func(_ context.Context, records []record.Record) error {
 			mut.Lock()
--- a/io/hostnode/departures.go
+++ b/io/hostnode/departures.go
@@ -203,6 +203,18 @@
 	nod.startCopy(rec)
 }
 
+// restoreDeparture writes the departure of the backend server again, after the store has come back from an older copy.
+func (nod *Node) restoreDeparture() {
+	rec := nod.departures.latest
+	if rec == nil || time.Since(rec.departure.At) > departure.Retention {
+		return
+	}
+	rec.written.Store(false)
+	if !rec.underWay() {
+		nod.startCopy(rec)
+	}
+}
+
 // copyDeparture tells other nodes and the store of a departure, and closes the channel once enough of them have it or
 // departureTimeout has passed.
 func (nod *Node) copyDeparture(ctx context.Context, rec *departureRecord, ended chan<- struct{}) {
--- a/io/hostnode/departures_test.go
+++ b/io/hostnode/departures_test.go
@@ -222,3 +222,24 @@
 	hos.probes.Add(1)
 	return !hos.departed.Load(), nil
 }
+
+// Guards against a departure that a store which came back from an older copy no longer has: after a restart of all nodes, late
+// heartbeats would bring the backend server into use again.
+func TestADepartureIsWrittenAgainAfterARestoreOfTheStore(t *testing.T) {
+	sto, hosts := openFleet(t)
+	hos := hosts[0]
+	require.NoError(t, hos.DeregisterBackendServer(t.Context(), "h0", time.Time{}))
+	kept := func() bool {
+		sto.mut.Lock()
+		defer sto.mut.Unlock()
+		_, found := sto.departures[hos.settings.Peers]
+		return found
+	}
+	require.True(t, kept())
+	hos.ReceiveStoreEra(0, 0)
+	sto.mut.Lock()
+	delete(sto.departures, hos.settings.Peers)
+	sto.mut.Unlock()
+	hos.ReceiveStoreEra(1, 1)
+	require.Eventually(t, kept, 10*time.Second, 10*time.Millisecond)
+}
--- a/io/hostnode/node.go
+++ b/io/hostnode/node.go
@@ -29,6 +29,7 @@
 	"flamingoreach/core/pick"
 	"flamingoreach/core/splitter"
 	"flamingoreach/core/stopwindow"
+	"flamingoreach/core/storeera"
 	"flamingoreach/core/tokenshare"
 	"flamingoreach/core/view"
 	"flamingoreach/io/crashlink"
@@ -93,6 +94,9 @@
 	versionAppliedAt atomic.Int64
 	// versionConfirmedAt is when the version in force was last known to be the newest in the store, in the same form.
 	versionConfirmedAt atomic.Int64
+	// storeEraKnown is one more than the latest era of the store that the control thread has observed, or 0 before the
+	// first. lateAnswers counts the store's answers of an earlier era.
+	storeEraKnown, lateAnswers atomic.Uint64
 
 	// evacuationSettled is set once it is known which data centres are evacuated, or syncTimeout has passed.
 	evacuationSettled atomic.Bool
@@ -136,6 +140,7 @@
 	members     *membership.List
 	memberLink  *memberlink.Link
 	feed        *configurationfeed.Feed
+	storeEra    *storeera.Era
 	followers   *followers.Followers
 	evacuations *tracker.Tracker
 	// onEvacuationEnded is called when the evacuation of this node's data centre ends, before the gate opens.
@@ -178,6 +183,7 @@
 		localServer:   localserver.New(),
 		feed:          configurationfeed.New(),
 		evacuations:   tracker.New(),
+		storeEra:      storeera.New(),
 		hostsSeenAt:   map[netip.AddrPort]time.Time{},
 		coldState:     coldpacer.Warm,
 		ready:         make(chan struct{}),
@@ -208,6 +214,7 @@
 	nod.setUpEvacuation()
 	nod.setUpDepartures()
 	nod.setUpConfiguration()
+	nod.setUpStoreEra()
 	nod.setUpShares()
 	nod.setUpRuntime()
 	nod.registerGauges()
