Inspect the head of each request that arrives with another

Cause: the inspection of heads looked at the first bytes read after an answer. A second head in the same read was in net/http's buffer by then and escaped it, as did heads with bare line feeds. The listener's record of unanswered requests did not know of such requests either: a planned stop could tell one that it had not run, and then run it. Change: io/framing/scanner follows the boundaries of requests, bodies included, in the bytes of a connection. What it cannot follow is refused from that request on. The listener asks it for requests that were read and not answered.

--- a/io/framing/framing.go
+++ b/io/framing/framing.go
@@ -1,18 +1,13 @@
 package framing
 
 import (
-	"bytes"
 	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
-)
-
-// maxHeaderBytes bounds the part of a header that is inspected.
-const maxHeaderBytes = 64 << 10
 
-// prefaceStart is sent first on each HTTP/2 connection.
-const prefaceStart = "PRI * HTTP/2.0"
+	"flamingoreach/io/framing/scanner"
+)
 
 type contextKey struct{}
 
@@ -28,83 +23,62 @@
 	return &inspectedConnection{Conn: con}, nil
 }
 
-// inspectedConnection is a connection that inspects the header of each request: the first bytes read after the previous
-// answer.
+// inspectedConnection is a connection that follows the boundaries of requests in what it reads, and so inspects each
+// header, also one that arrives together with an earlier request.
 type inspectedConnection struct {
 	net.Conn
 
-	// header collects the bytes of a header until its end, and headerRead is set then. Only the reading goroutine uses
-	// header.
-	header     []byte
-	headerRead atomic.Bool
-	// http2 is set on HTTP/2 connections, whose frames state one length each.
-	http2 atomic.Bool
-	// ambiguous is never cleared: where the next request on the connection begins is unknown.
-	ambiguous atomic.Bool
+	scanner scanner.Scanner
+	// answered is the number of requests that net/http has answered without closing the connection.
+	answered atomic.Int64
 }
 
-// Read also inspects the bytes of a header.
+// Read also follows the requests.
 func (ins *inspectedConnection) Read(into []byte) (int, error) {
 	count, err := ins.Conn.Read(into)
-	if count > 0 && !ins.headerRead.Load() {
-		ins.inspect(into[:count])
-	}
+	ins.scanner.Scan(into[:count])
 	return count, err
 }
 
-func (ins *inspectedConnection) inspect(part []byte) {
-	ins.header = append(ins.header, part...)
-	end := bytes.Index(ins.header, []byte("\r\n\r\n"))
-	if end < 0 && len(ins.header) < maxHeaderBytes {
-		return
-	}
-	switch {
-	case bytes.HasPrefix(ins.header, []byte(prefaceStart)):
-		ins.http2.Store(true)
-	case end >= 0 && isAmbiguous(ins.header[:end]):
-		ins.ambiguous.Store(true)
-	}
-	ins.header = nil
-	ins.headerRead.Store(true)
-}
-
-// isAmbiguous reports whether a header has more than one Content-Length or Transfer-Encoding field, or one of each.
-func isAmbiguous(header []byte) bool {
-	lengths, codings := 0, 0
-	for line := range bytes.SplitSeq(header, []byte("\r\n")) {
-		name, _, _ := bytes.Cut(line, []byte(":"))
-		switch {
-		case bytes.EqualFold(bytes.TrimSpace(name), []byte("Content-Length")):
-			lengths++
-		case bytes.EqualFold(bytes.TrimSpace(name), []byte("Transfer-Encoding")):
-			codings++
-		}
-	}
-	return lengths > 1 || codings > 1 || lengths > 0 && codings > 0
-}
-
 // ConnContext puts a connection into the context of its requests; it is for http.Server.ConnContext.
 func ConnContext(ctx context.Context, con net.Conn) context.Context {
 	return context.WithValue(ctx, contextKey{}, con)
 }
 
-// OnStateChange starts the inspection of the next header when an HTTP/1.1 connection becomes idle;
-// http.Server.ConnState calls it. An HTTP/2 connection is not inspected after its preface, and its state changes on
-// another goroutine than the one that reads.
+// OnStateChange counts the requests that were answered; http.Server.ConnState calls it.
 func OnStateChange(con net.Conn, state http.ConnState) {
-	if ins, ok := con.(*inspectedConnection); ok && state == http.StateIdle && !ins.http2.Load() {
-		ins.headerRead.Store(false)
+	if ins, ok := con.(*inspectedConnection); ok && state == http.StateIdle {
+		ins.answered.Add(1)
+	}
+}
+
+// Observe sets functions that a connection of a Listener calls in its Read with the offset, in all bytes read, of the
+// first byte of each request, of the end of its head and of its own end. It must be called before the first Read.
+func Observe(con net.Conn, onBegin, onHead, onEnd func(offset int64)) {
+	if ins, ok := con.(*inspectedConnection); ok {
+		ins.scanner.OnBegin, ins.scanner.OnHead, ins.scanner.OnEnd = onBegin, onHead, onEnd
 	}
 }
 
 // IsHTTP2 reports whether a connection that a Listener accepted speaks HTTP/2.
 func IsHTTP2(con net.Conn) bool {
 	ins, ok := con.(*inspectedConnection)
-	return ok && ins.http2.Load()
+	return ok && ins.scanner.HTTP2()
 }
 
-// Ambiguous reports whether a request on the connection of this context had an ambiguous body length.
+// Pending reports whether bytes of an HTTP/1.1 request that net/http has not answered were read from a connection.
+func Pending(con net.Conn) bool {
+	ins, ok := con.(*inspectedConnection)
+	return ok && !ins.scanner.HTTP2() && ins.scanner.Begun() > ins.answered.Load()
+}
+
+// Ambiguous reports whether the present request on the connection of this context, or one before it, has an ambiguous
+// body length.
 func Ambiguous(ctx context.Context) bool {
 	ins, ok := ctx.Value(contextKey{}).(*inspectedConnection)
-	return ok && ins.ambiguous.Load()
+	if !ok {
+		return false
+	}
+	first := ins.scanner.Ambiguous()
+	return first > 0 && first <= ins.answered.Load()+1
 }
--- a/io/httplistener/connectionset.go
+++ b/io/httplistener/connectionset.go
@@ -56,6 +56,10 @@
 	if tra == nil {
 		return
 	}
+	if state == http.StateNew {
+		outer := con
+		tra.outer.Store(&outer)
+	}
 	tra.http2.Store(isHTTP2(con))
 	tra.state.Store(int32(state))
 }
--- a/io/httplistener/trackedconnection.go
+++ b/io/httplistener/trackedconnection.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"flamingoreach/io/framing"
 	"flamingoreach/io/tcpoptions"
 )
 
@@ -32,6 +33,8 @@
 	// http2 is set on HTTP/2 connections, whose clients are notified of the shutdown by net/http.
 	http2  atomic.Bool
 	closed atomic.Bool
+	// outer is the connection that net/http uses, which knows of requests that were read but are still in buffers.
+	outer atomic.Pointer[net.Conn]
 
 	mut sync.Mutex
 	// unanswered is set by a read and cleared by a write: while it is set, a request has no answer yet.
@@ -114,6 +117,9 @@
 	default:
 		return false
 	}
+	if outer := tra.outer.Load(); outer != nil && framing.Pending(*outer) {
+		return false
+	}
 	tra.mut.Lock()
 	defer tra.mut.Unlock()
 	if tra.unanswered || tra.ending {
