Run pipelined requests of idempotent routes ahead of their turn

Cause: net/http runs the requests of one connection one after another, so the last of several that a caller sends at once waits for all before it. Change: io/pipeline reads the next requests while a handler runs, on the goroutine on which net/http waits for the caller to leave, and starts those that may run ahead, 8 for each connection at most. Their answers wait in a room that all connections share. Bounds.Pipeline of the listener turns it on.

--- a/io/httplistener/connectionset.go
+++ b/io/httplistener/connectionset.go
@@ -48,11 +48,16 @@
 	}
 }
 
+// find returns the tracked connection inside another, or nil if it was removed.
+func (set *connectionSet) find(con net.Conn) *trackedConnection {
+	set.mut.Lock()
+	defer set.mut.Unlock()
+	return set.open[remoteAddress(con)]
+}
+
 // setState records a change of state that net/http reports.
 func (set *connectionSet) setState(con net.Conn, state http.ConnState) {
-	set.mut.Lock()
-	tra := set.open[remoteAddress(con)]
-	set.mut.Unlock()
+	tra := set.find(con)
 	if tra == nil {
 		return
 	}
--- a/io/httplistener/listener.go
+++ b/io/httplistener/listener.go
@@ -16,6 +16,7 @@
 
 	"flamingoreach/io/bytecount"
 	"flamingoreach/io/framing"
+	"flamingoreach/io/pipeline"
 	"flamingoreach/io/tcpoptions"
 )
 
@@ -31,6 +32,8 @@
 	served  chan struct{}
 	// keepAliveEnded makes each connection close after its next answer.
 	keepAliveEnded atomic.Bool
+	// pipeline runs requests ahead, or is nil.
+	pipeline *pipeline.Pipeline
 }
 
 // Bounds limits what one listener accepts.
@@ -51,6 +54,8 @@
 	TLS *tls.Config
 	// Counter, if set, counts the bytes of all connections.
 	Counter *bytecount.Counter
+	// Pipeline, if set, runs pipelined requests ahead on cleartext connections of HTTP/1.1. It serves one listener.
+	Pipeline *pipeline.Pipeline
 }
 
 // Listen binds an address for HTTP/1.1 and HTTP/2, both over TLS if the bounds set it; it fails if the address cannot
@@ -77,7 +82,14 @@
 	} else {
 		listener = framing.Listener{Listener: listener}
 	}
-	lis := &Listener{listener: listener, socket: soc, address: address, served: make(chan struct{})}
+	if bou.TLS != nil {
+		bou.Pipeline = nil
+	}
+	if bou.Pipeline != nil {
+		listener = pipelinedListener{Listener: listener, pip: bou.Pipeline, connections: soc.connections}
+		handler = bou.Pipeline.Handler(handler)
+	}
+	lis := &Listener{listener: listener, socket: soc, address: address, served: make(chan struct{}), pipeline: bou.Pipeline}
 	lis.server = &http.Server{
 		Handler:           lis.wrapHandler(handler),
 		Protocols:         protocols,
@@ -85,11 +97,8 @@
 		ReadHeaderTimeout: bou.HeaderTime,
 		ReadTimeout:       bou.ReadTime,
 		IdleTimeout:       bou.IdleTime,
-		ConnContext:       framing.ConnContext,
-		ConnState: func(con net.Conn, state http.ConnState) {
-			soc.connections.setState(con, state)
-			framing.OnStateChange(con, state)
-		},
+		ConnContext:       connContext,
+		ConnState:         soc.connections.onStateChange,
 	}
 	return lis, nil
 }
@@ -155,11 +164,18 @@
 	err := lis.server.Shutdown(ctx)
 	if err != nil {
 		_ = lis.server.Close()
-		return eris.Wrapf(err, "stop serving on %s", lis.Address())
 	}
-	return nil
+	if lis.pipeline != nil {
+		err = errors.Join(err, lis.pipeline.Close(ctx))
+	}
+	return eris.Wrapf(err, "stop serving on %s", lis.Address())
 }
 
 // EndKeepAlive closes each connection after its next answer, so that callers connect to other hosts. An idle
 // connection stays open until then: closing it could lose a request that is already on its way.
-func (lis *Listener) EndKeepAlive() { lis.keepAliveEnded.Store(true) }
+func (lis *Listener) EndKeepAlive() {
+	if lis.pipeline != nil {
+		lis.pipeline.Stop()
+	}
+	lis.keepAliveEnded.Store(true)
+}
--- a/io/httplistener/trackedconnection.go
+++ b/io/httplistener/trackedconnection.go
@@ -97,6 +97,16 @@
 	}
 }
 
+// linger tells the client that nothing more is sent, and reads what it sends until it has closed, or for lingerTime.
+func (tra *trackedConnection) linger() {
+	_ = tra.CloseWrite()
+	_ = tra.TCPConn.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.Copy(io.Discard, tra.TCPConn)
+}
+
+// awaitClose waits until the client has closed the connection; it fails at the read deadline.
+func (tra *trackedConnection) awaitClose() error { return tcpoptions.AwaitClose(tra.TCPConn) }
+
 // Close closes the connection and removes it from its set; it fails with net.ErrClosed after the first call.
 func (tra *trackedConnection) Close() error {
 	if tra.closed.Swap(true) {
--- /dev/null
+++ b/io/pipeline/turn.go
@@ -0,0 +1,125 @@
+package pipeline
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+	"time"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// begin begins the turn of a request and returns it as it was run ahead, or nil if it was not. If its answer ends the
+// connection, the requests behind it will not be answered.
+func (con *Connection) begin(req *http.Request, closing bool) *early {
+	con.mut.Lock()
+	defer con.mut.Unlock()
+	con.current, con.closing, con.alone, con.known = req, closing, false, false
+	var ear *early
+	if len(con.ahead) > 0 {
+		if same(req, con.ahead[0].req) {
+			ear, con.ahead = con.ahead[0], con.ahead[1:]
+		} else {
+			con.paused = true
+			con.cancelAhead("the requests do not match")
+		}
+	}
+	if closing {
+		con.cancelAhead("an answer ends the connection")
+	}
+	con.startWaiting()
+	return ear
+}
+
+// finish ends the turn of a request.
+func (con *Connection) finish() {
+	con.mut.Lock()
+	defer con.mut.Unlock()
+	con.current, con.finished = nil, true
+}
+
+// pause makes all requests that were read wait for their turns.
+func (con *Connection) pause() {
+	con.mut.Lock()
+	defer con.mut.Unlock()
+	con.paused = true
+}
+
+// readAt returns when the request whose turn it is was read, or zero if it did not wait.
+func (con *Connection) readAt() time.Time {
+	con.mut.Lock()
+	defer con.mut.Unlock()
+	if con.current == nil || len(con.requests) == 0 {
+		return time.Time{}
+	}
+	return con.requests[0].readAt
+}
+
+func (con *Connection) startAhead() {
+	con.mut.Lock()
+	defer con.mut.Unlock()
+	con.startWaiting()
+}
+
+// startWaiting starts the requests behind the current one, up to the first that must wait.
+func (con *Connection) startWaiting() {
+	if con.current == nil || con.closing || con.paused || con.failed != nil || len(con.requests) < 2 {
+		return
+	}
+	if !con.known {
+		con.known, con.alone = true, con.current.ContentLength != 0 || !con.pip.MayRunAhead(con.current)
+	}
+	for !con.alone && len(con.ahead) < maxRequests-1 && len(con.requests) > 1+len(con.ahead) {
+		if last := len(con.ahead) - 1; last >= 0 && con.ahead[last].req.Close {
+			return
+		}
+		ear := con.start(&con.requests[1+len(con.ahead)])
+		if ear == nil {
+			return
+		}
+		con.ahead = append(con.ahead, ear)
+	}
+}
+
+// start starts a request ahead; it returns nil if the request must wait.
+func (con *Connection) start(bou *boundary) *early {
+	end := con.bufferAt + int64(len(con.buffer))
+	if bou.waits || bou.headEnd == 0 || bou.headEnd > end || bou.begin < con.bufferAt {
+		return nil
+	}
+	if bou.readAt.IsZero() {
+		bou.readAt = time.Now()
+	}
+	bou.waits = true
+	if bou.end != bou.headEnd || bou.headEnd-bou.begin > aheadBytes {
+		return nil
+	}
+	head := con.buffer[bou.begin-con.bufferAt : bou.headEnd-con.bufferAt]
+	req, err := http.ReadRequest(bufio.NewReaderSize(bytes.NewReader(head), len(head)))
+	if err != nil || !wellFormed(req) || !con.pip.MayRunAhead(req) {
+		return nil
+	}
+	bou.waits = false
+	req.RemoteAddr = con.RemoteAddr().String()
+	return con.pip.start(con.newContext(), req)
+}
+
+// wellFormed reports whether net/http passes a request to its handler and reads the next one behind its head. In case of
+// doubt it does not, and the request waits for net/http to decide.
+func wellFormed(req *http.Request) bool {
+	if req.ProtoMajor != 1 || req.ProtoMinor != 1 || req.ContentLength != 0 || req.URL.Host != "" || req.Host == "" ||
+		!httpguts.ValidHostHeader(req.Host) || req.Header.Get("Expect") != "" || req.Header.Get("Upgrade") != "" {
+		return false
+	}
+	for name, values := range req.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return false
+		}
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldValue(value) {
+				return false
+			}
+		}
+	}
+	return true
+}
