Run callers' pipelined requests ahead on the users' platform

Cause: io/pipeline was used by no listener. Change: the listener for callers of io/hostnode has a pipeline. platform.FrontEnd says which requests may run ahead: GET and HEAD without a body whose route is idempotent. The time of a request counts from when it was read. The states of a request that runs ahead are the chart requestAhead. Gauges and a log line tell of requests run ahead, cancelled and run again.

--- a/cmd/flamingoreach-host/command/command.go
+++ b/cmd/flamingoreach-host/command/command.go
@@ -136,10 +136,13 @@
 	watching, stopWatching := context.WithCancel(ctx)
 	watched := make(chan error, 1)
 	go func() { watched <- watch.File(watching, file, reloads, func() { reload(nod, file, logger) }) }()
+	callers := &platform.FrontEnd{
+		CallerService: set.Service, BodyBytes: bodyBytes, BodyTime: bodyTime, Bodies: bodies, Serve: nod.Serve, OnRefusal: nod.RecordRefusal,
+		IsIdempotent: nod.IsIdempotent,
+	}
 	err := nod.Run(ctx, hostnode.Handlers{
-		Callers: &platform.FrontEnd{
-			CallerService: set.Service, BodyBytes: bodyBytes, BodyTime: bodyTime, Bodies: bodies, Serve: nod.Serve, OnRefusal: nod.RecordRefusal,
-		},
+		Callers:     callers,
+		MayRunAhead: callers.MayRunAhead,
 		Announcements: &platform.AnnouncementHandler{
 			Service: set.Service, ReceiveAnnouncement: nod.ReceiveAnnouncement, Deregister: nod.DeregisterBackendServer, OnInvalidHeartbeat: nod.LogInvalidHeartbeat,
 		},
--- a/io/hostnode/run.go
+++ b/io/hostnode/run.go
@@ -40,6 +40,8 @@
 // checks.
 type Handlers struct {
 	Callers, Announcements, Ready http.Handler
+	// MayRunAhead, if set, reports which callers' requests may run before those before them on their connection are answered.
+	MayRunAhead func(req *http.Request) bool
 }
 
 type listeners struct {
@@ -87,7 +89,11 @@
 		{"peers", nod.settings.Peers, nod.peerServer.Handler()},
 		{"metrics", nod.settings.Metrics, nod.metrics},
 	} {
-		lis, err := httplistener.Listen(ctx, bind.address, bind.handler, bounds)
+		limits := bounds
+		if bind.name == "callers" {
+			limits.Pipeline = nod.newPipeline(han.MayRunAhead)
+		}
+		lis, err := httplistener.Listen(ctx, bind.address, bind.handler, limits)
 		if err != nil {
 			return eris.Wrapf(err, "start listener for %s", bind.name)
 		}
--- a/io/pipeline/connection.go
+++ b/io/pipeline/connection.go
@@ -306,7 +306,7 @@
 		return
 	}
 	for _, ear := range con.ahead {
-		ear.abandon()
+		ear.fire(abandoned)
 	}
 	con.pip.recordCancelled(len(con.ahead), cause)
 	con.ahead = nil
--- a/io/pipeline/early.go
+++ b/io/pipeline/early.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"net/http"
-	"sync/atomic"
+	"sync"
 
+	"flamingoreach/charts"
+	"flamingoreach/core/machine"
 	"flamingoreach/io/room"
 )
 
@@ -19,106 +21,116 @@
 
 var errNoRoom = errors.New("there is no room for the answer")
 
-// The states of a request that is run ahead.
+// The events of the chart requestAhead.
 const (
-	running int32 = iota
-	finished
-	abandoned
+	returned  = "returned"
+	noRoom    = "noRoom"
+	turn      = "turn"
+	abandoned = "abandoned"
 )
 
-// early is a request that is run ahead of its turn.
+var requestAhead = machine.MustNew(charts.MustLoad("requestAhead"),
+	[]string{returned, noRoom, turn, abandoned}, nil,
+	map[string]func(*early){
+		"cancel":       func(ear *early) { ear.cancel() },
+		"dropAnswer":   func(ear *early) { ear.body = nil },
+		"giveBackRest": func(ear *early) { ear.keepRoom(int64(len(ear.body)) + headerBytes) },
+		"giveBackAll":  func(ear *early) { ear.keepRoom(0) },
+	})
+
+// early is a request that is run ahead of its turn, and the http.ResponseWriter that keeps its answer until then.
 type early struct {
 	req    *http.Request
 	cancel context.CancelFunc
-	answer bufferedAnswer
+	room   *room.Room
 	// ended is closed when the handler has returned, and panicked is what it panicked with.
 	ended    chan struct{}
 	panicked any
-	state    atomic.Int32
+
+	// The answer belongs to the goroutine that runs the handler until that has returned.
+	header http.Header
+	status int
+	// dropped is set if there was no room for the answer.
+	dropped bool
+
+	mut sync.Mutex
+	// state is the state in the chart requestAhead.
+	state string
+	body  []byte
+	// taken is the room that the answer has taken.
+	taken int64
+}
+
+// fire takes an event of the chart.
+func (ear *early) fire(event string) {
+	ear.mut.Lock()
+	defer ear.mut.Unlock()
+	ear.state = requestAhead.Fire(ear, ear.state, event)
 }
 
 // end is called when the handler has returned.
 func (ear *early) end() {
 	ear.cancel()
-	ear.answer.settle()
-	if !ear.state.CompareAndSwap(running, finished) {
-		ear.answer.release()
-	}
+	ear.fire(returned)
 	close(ear.ended)
 }
 
-// abandon cancels a request whose answer will not be sent. It is called at most once, and not at the request's turn.
-func (ear *early) abandon() {
-	ear.cancel()
-	if !ear.state.CompareAndSwap(running, abandoned) {
-		ear.answer.release()
-	}
-}
-
-// bufferedAnswer is an http.ResponseWriter that keeps an answer until its turn.
-type bufferedAnswer struct {
-	room *room.Room
-	// taken is the room that the answer has taken.
-	taken  int64
-	header http.Header
-	status int
-	body   []byte
-	// dropped is set if there was no room for the answer.
-	dropped bool
+// keepRoom gives back the room beyond a number of bytes.
+func (ear *early) keepRoom(bytes int64) {
+	rest := max(ear.taken-bytes, 0)
+	ear.room.GiveBack(rest)
+	ear.taken -= rest
 }
 
 // Header returns the header of the answer.
-func (ans *bufferedAnswer) Header() http.Header { return ans.header }
+func (ear *early) Header() http.Header { return ear.header }
 
 // WriteHeader sets the status of the answer; informational ones are not kept.
-func (ans *bufferedAnswer) WriteHeader(status int) {
-	if ans.status == 0 && (status >= http.StatusOK || status == http.StatusSwitchingProtocols) {
-		ans.status = status
+func (ear *early) WriteHeader(status int) {
+	if ear.status == 0 && status >= http.StatusOK {
+		ear.status = status
 	}
 }
 
 // Write adds to the body; if there is no room for it, the answer is dropped.
-func (ans *bufferedAnswer) Write(part []byte) (int, error) {
-	ans.WriteHeader(http.StatusOK)
-	if missing := int64(len(ans.body)+len(part)) + headerBytes - ans.taken; missing > 0 && !ans.dropped {
-		if ans.room.Take(missing) {
-			ans.taken += missing
-		} else {
-			ans.dropped, ans.body = true, nil
+func (ear *early) Write(part []byte) (int, error) {
+	ear.WriteHeader(http.StatusOK)
+	if ear.dropped || !ear.add(part) {
+		if !ear.dropped {
+			ear.dropped = true
+			ear.fire(noRoom)
 		}
-	}
-	if ans.dropped {
 		return 0, errNoRoom
 	}
-	if ans.body == nil {
-		ans.body = make([]byte, 0, len(part))
-	}
-	ans.body = append(ans.body, part...)
 	return len(part), nil
 }
 
-// settle gives back the room that the complete answer does not need.
-func (ans *bufferedAnswer) settle() {
-	left := ans.taken - int64(len(ans.body)) - headerBytes
-	ans.room.GiveBack(left)
-	ans.taken -= max(left, 0)
-}
-
-func (ans *bufferedAnswer) release() {
-	ans.room.GiveBack(ans.taken)
-	ans.taken, ans.body = 0, nil
+// add adds to the body and reports whether there was room for it.
+func (ear *early) add(part []byte) bool {
+	ear.mut.Lock()
+	defer ear.mut.Unlock()
+	missing := max(int64(len(ear.body)+len(part))+headerBytes-ear.taken, 0)
+	if !ear.room.Take(missing) {
+		return false
+	}
+	ear.taken += missing
+	if ear.body == nil {
+		ear.body = make([]byte, 0, len(part))
+	}
+	ear.body = append(ear.body, part...)
+	return true
 }
 
 // send writes the answer at its turn.
-func (ans *bufferedAnswer) send(wri http.ResponseWriter) {
+func (ear *early) send(wri http.ResponseWriter) {
 	header := wri.Header()
-	for name, values := range ans.header {
+	for name, values := range ear.header {
 		header[name] = values
 	}
-	if ans.status != 0 {
-		wri.WriteHeader(ans.status)
+	if ear.status != 0 {
+		wri.WriteHeader(ear.status)
 	}
-	if len(ans.body) > 0 {
-		_, _ = wri.Write(ans.body)
+	if len(ear.body) > 0 {
+		_, _ = wri.Write(ear.body)
 	}
 }
--- a/io/pipeline/pipeline.go
+++ b/io/pipeline/pipeline.go
@@ -98,17 +98,17 @@
 		ear.cancel()
 		<-ear.ended
 	}
-	defer ear.answer.release()
+	defer ear.fire(turn)
 	switch {
 	case ear.panicked != nil:
 		panic(ear.panicked)
-	case ear.answer.dropped:
-		pip.rerun.Add(1)
-		con.pause()
-		pip.next.ServeHTTP(wri, req)
-	default:
-		ear.answer.send(wri)
+	case !ear.dropped:
+		ear.send(wri)
+		return
 	}
+	pip.rerun.Add(1)
+	con.pause()
+	pip.next.ServeHTTP(wri, req)
 }
 
 // ReadAt returns when the request of a context was read, if it was read while it waited for its turn, and otherwise the
@@ -138,8 +138,8 @@
 	pip.started.Add(1)
 	ctx, cancel := context.WithCancel(ctx)
 	ear := &early{
-		req: req.WithContext(ctx), cancel: cancel, ended: make(chan struct{}),
-		answer: bufferedAnswer{room: pip.Room, taken: answerBytes, header: http.Header{}},
+		req: req.WithContext(ctx), cancel: cancel, ended: make(chan struct{}), header: http.Header{},
+		state: requestAhead.Initial(), room: pip.Room, taken: answerBytes,
 	}
 	go pip.run(ear)
 	return ear
@@ -150,7 +150,7 @@
 	defer pip.end()
 	defer ear.end()
 	defer func() { ear.panicked = recover() }()
-	pip.next.ServeHTTP(&ear.answer, ear.req)
+	pip.next.ServeHTTP(ear, ear.req)
 }
 
 func (pip *Pipeline) end() {
--- /dev/null
+++ b/io/pipeline/stop_test.go
@@ -0,0 +1,88 @@
+package pipeline_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	stopRounds  = 8
+	stopClients = 24
+	stopBatch   = 5
+)
+
+// batch sends several requests at once and reads the answers. It returns how many were answered, whether the connection
+// goes on, and an error if it ended before an answer said so.
+func batch(con net.Conn, reader *bufio.Reader, from int) (answered int, goesOn bool, err error) {
+	var text strings.Builder
+	for number := range stopBatch {
+		text.WriteString(get(time.Millisecond, from+number))
+	}
+	if _, err := io.WriteString(con, text.String()); err != nil {
+		return 0, false, err
+	}
+	for number := range stopBatch {
+		res, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return number, false, err
+		}
+		body, err := io.ReadAll(res.Body)
+		_ = res.Body.Close()
+		switch {
+		case err != nil:
+			return number, false, err
+		case res.StatusCode == http.StatusRequestTimeout:
+			return number, false, nil
+		case res.StatusCode != http.StatusOK || string(body) != fmt.Sprint(from+number):
+			return number, false, fmt.Errorf("request %d: status %d, %q", from+number, res.StatusCode, body)
+		case res.Close:
+			return number + 1, false, nil
+		}
+	}
+	return stopBatch, true, nil
+}
+
+// Guards against a planned stop that resets connections with pipelined requests, or loses one that was not told so: each
+// is answered, or behind an answer that ends the connection or says that it has not run.
+func TestAStopUnderPipelinedLoadLosesNoRequest(t *testing.T) {
+	for round := range stopRounds {
+		ser := serve(t, nil)
+		var answered atomic.Int64
+		var clients sync.WaitGroup
+		for client := range stopClients {
+			ran := rand.New(rand.NewPCG(uint64(round), uint64(client)))
+			con, reader := connect(t, ser)
+			clients.Go(func() {
+				for from := 0; ; from += stopBatch {
+					count, goesOn, err := batch(con, reader, from)
+					answered.Add(int64(count))
+					if err != nil {
+						t.Errorf("round %d, client %d, request %d: %v", round, client, from+count, err)
+					}
+					if !goesOn {
+						_ = con.Close()
+						return
+					}
+					time.Sleep(time.Duration(ran.IntN(5000)) * time.Microsecond)
+				}
+			})
+		}
+		time.Sleep(50 * time.Millisecond)
+		require.NoError(t, ser.close(t.Context()))
+		clients.Wait()
+		require.Positive(t, answered.Load())
+		require.GreaterOrEqual(t, int64(ser.count("end")), answered.Load())
+		require.Zero(t, ser.pip.Room.Used())
+	}
+}
