Count the time of a pipelined request from the reading of its head

Cause: the time of reading was set when a request could first have been run ahead, and for one that runs ahead it was the start of its handler. Change: the connection notes the time when the head of a request behind another one has been read, and passes it to the handler of a request that runs ahead. Result: TestTheTimeOfReadingIsKeptBehindTheLimit failed (208 ns in place of at least 150 ms) and passes.

--- a/io/pipeline/connection.go
+++ b/io/pipeline/connection.go
@@ -66,7 +66,7 @@
 // until they are read.
 type boundary struct {
 	begin, headEnd, end int64
-	// readAt is when the head was read, while the request waited for its turn.
+	// readAt is when the head was read, or zero if no other request was unanswered then.
 	readAt time.Time
 	// waits is set if the request may not run ahead.
 	waits bool
@@ -129,7 +129,11 @@
 func (con *Connection) onHead(offset int64) {
 	con.mut.Lock()
 	defer con.mut.Unlock()
-	con.requests[len(con.requests)-1].headEnd = offset
+	last := len(con.requests) - 1
+	con.requests[last].headEnd = offset
+	if last > 0 {
+		con.requests[last].readAt = time.Now()
+	}
 }
 
 func (con *Connection) onEnd(offset int64) {
--- a/io/pipeline/pipeline.go
+++ b/io/pipeline/pipeline.go
@@ -14,6 +14,8 @@
 	"flamingoreach/io/room"
 )
 
+// contextKey is the key of the Connection in the context of a request whose turn it is, and of the time of reading in that of
+// one that runs ahead.
 type contextKey struct{}
 
 // Pipeline runs requests ahead for all connections of one listener. Its fields must not change once it is used.
@@ -114,8 +116,11 @@
 // ReadAt returns when the request of a context was read, if it was read while it waited for its turn, and otherwise the
 // present time.
 func ReadAt(ctx context.Context) time.Time {
-	if con, ok := ctx.Value(contextKey{}).(*Connection); ok {
-		if readAt := con.readAt(); !readAt.IsZero() {
+	switch val := ctx.Value(contextKey{}).(type) {
+	case time.Time:
+		return val
+	case *Connection:
+		if readAt := val.readAt(); !readAt.IsZero() {
 			return readAt
 		}
 	}
--- a/io/pipeline/room_test.go
+++ b/io/pipeline/room_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -71,6 +73,28 @@
 	require.GreaterOrEqual(t, time.Duration(waited.Load()), 150*time.Millisecond)
 }
 
+// Guards against a deadline that begins only when one of the eight that run at a time has ended.
+func TestTheTimeOfReadingIsKeptBehindTheLimit(t *testing.T) {
+	const requests = 12
+	var mut sync.Mutex
+	waited := map[string]time.Duration{}
+	ser := serve(t, func(_ http.ResponseWriter, req *http.Request) {
+		mut.Lock()
+		defer mut.Unlock()
+		waited[req.URL.RawQuery] = time.Since(pipeline.ReadAt(req.Context()))
+	})
+	text := get(200*time.Millisecond, 1)
+	for number := 2; number <= requests; number++ {
+		text += get(0, number)
+	}
+	_, reader := connect(t, ser, text)
+	receiveNumbers(t, reader, 1, requests)
+	require.Equal(t, int64(requests-1), ser.pip.Started())
+	for number := 9; number <= requests; number++ {
+		require.GreaterOrEqual(t, waited[fmt.Sprint(number)], 150*time.Millisecond, number)
+	}
+}
+
 // exchange measures requests on one connection that are not pipelined.
 func exchange(tb testing.TB, pip *pipeline.Pipeline, run func(ask func())) {
 	lis, err := httplistener.Listen(tb.Context(), netip.MustParseAddrPort("127.0.0.1:0"),
--- a/io/pipeline/turn.go
+++ b/io/pipeline/turn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"net/http"
 	"time"
 
@@ -87,9 +88,6 @@
 	if bou.waits || bou.headEnd == 0 || bou.headEnd > end || bou.begin < con.bufferAt {
 		return nil
 	}
-	if bou.readAt.IsZero() {
-		bou.readAt = time.Now()
-	}
 	bou.waits = true
 	if bou.end != bou.headEnd || bou.headEnd-bou.begin > aheadBytes {
 		return nil
@@ -101,7 +99,7 @@
 	}
 	bou.waits = false
 	req.RemoteAddr = con.RemoteAddr().String()
-	return con.pip.start(con.newContext(), req)
+	return con.pip.start(context.WithValue(con.newContext(), contextKey{}, bou.readAt), req)
 }
 
 // wellFormed reports whether net/http passes a request to its handler and reads the next one behind its head. In case of
