Stop the scan at a request line that is not of HTTP/1

Cause: the scanner counted any line of three bytes with an empty one behind it as a request. 8 KiB of them made a connection keep 2,730 boundaries of 56 bytes, and there is a connection for each caller, with or without a key. Change: a request line without a version of HTTP/1 ends the scan. net/http refuses such a line, and the listener what follows. The shortest request that is followed has 14 bytes or more. Result: two new heads in TestAmbiguousRequestsAreFound were not noticed before and are.

--- a/io/framing/scanner/scanner.go
+++ b/io/framing/scanner/scanner.go
@@ -163,6 +163,12 @@
 		sca.state = stopped
 		return
 	}
+	// net/http refuses any other request line, so that what follows is not scanned: lines of a few bytes would each count
+	// as a request.
+	if len(line) < maxLineBytes && !bytes.Contains(line, []byte(" HTTP/1.")) {
+		sca.stop()
+		return
+	}
 	sca.state = field
 	sca.current = bytes.HasSuffix(line, []byte(" HTTP/1.1"))
 	sca.lengths, sca.codings, sca.length, sca.unclear = 0, 0, 0, len(line) >= maxLineBytes
--- a/io/framing/scanner/scanner_test.go
+++ b/io/framing/scanner/scanner_test.go
@@ -47,6 +47,8 @@
 		"GET / HTTP/1.0\r\nTransfer-Encoding: chunked",
 		"GET / HTTP/1.1\r\nA: b\r\n Transfer-Encoding: chunked",
 		"GET /" + strings.Repeat("a", 64<<10) + " HTTP/1.1\r\nHost: a",
+		"GET",
+		"GET / HTTP/2.0\r\nHost: a",
 	} {
 		for _, length := range []int{7, 1 << 20} {
 			notes, ambiguous := scan("GET / HTTP/1.1\r\n\r\n"+head+"\r\n\r\nGET / HTTP/1.1\r\n\r\n", length)
