Send the farewell only on a connection that is still idle

Cause: between the check of a connection and its farewell a request may arrive. The write of the first part of its answer clears unanswered, so the farewell (408, has not run) could go into the answer, or before it. The check of requests in buffers was made before the mutex was taken and not again. Change: both places take the mutex first and then look at unanswered, the state and the requests in buffers. Result: TestARequestThatIsBeingAnsweredIsNotToldThatItDidNotRun failed (invalid byte in chunk length) and passes.

--- a/io/httplistener/pipelinedclose_test.go
+++ b/io/httplistener/pipelinedclose_test.go
@@ -46,3 +46,46 @@
 	require.NoError(t, lis.Close(t.Context()))
 	require.NoError(t, <-served)
 }
+
+// Guards against a planned stop that sends its farewell into the answer to a request that arrives while it finds the
+// connection idle.
+func TestARequestThatIsBeingAnsweredIsNotToldThatItDidNotRun(t *testing.T) {
+	begun, farewellDue := make(chan struct{}), make(chan struct{})
+	lis, err := Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"), http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		if req.URL.Path != "/long" {
+			return
+		}
+		_, _ = wri.Write([]byte("begun "))
+		_ = http.NewResponseController(wri).Flush()
+		close(begun)
+		<-farewellDue
+		_, _ = wri.Write([]byte("done"))
+	}), Bounds{Connections: 4, IdleTime: time.Minute})
+	require.NoError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- lis.Serve() }()
+	con := connect(t, lis.Address(), pipelinedRequest)
+	reader := bufio.NewReader(con)
+	res, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	require.NoError(t, res.Body.Close())
+	// net/http marks a connection as idle shortly after its answer was sent.
+	time.Sleep(100 * time.Millisecond)
+	lis.socket.connections.onIdle = func() {
+		_, err := io.WriteString(con, "GET /long HTTP/1.1\r\nHost: a\r\n\r\n")
+		require.NoError(t, err)
+		<-begun
+	}
+	lis.socket.connections.closeAnsweredNow()
+	lis.socket.connections.onIdle = nil
+	close(farewellDue)
+	res, err = http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	text, err := io.ReadAll(res.Body)
+	require.NoError(t, err)
+	require.NoError(t, res.Body.Close())
+	require.Equal(t, "begun done", string(text))
+	require.NoError(t, con.Close())
+	require.NoError(t, lis.Close(t.Context()))
+	require.NoError(t, <-served)
+}
--- a/io/httplistener/trackedconnection.go
+++ b/io/httplistener/trackedconnection.go
@@ -87,7 +87,7 @@
 func (tra *trackedConnection) end() {
 	tra.mut.Lock()
 	defer tra.mut.Unlock()
-	if tra.unanswered || tra.ending {
+	if !tra.quiet() {
 		return
 	}
 	tra.ending = true
@@ -118,24 +118,28 @@
 
 // allAnswered reports whether no request on the connection is waiting for an answer.
 func (tra *trackedConnection) allAnswered(now time.Time) bool {
-	switch http.ConnState(tra.state.Load()) {
-	case http.StateIdle:
-	case http.StateNew:
-		if now.Sub(tra.opened) < firstRequestTimeout {
-			return false
-		}
-	default:
-		return false
-	}
-	if outer := tra.outer.Load(); outer != nil && framing.Pending(*outer) {
+	if http.ConnState(tra.state.Load()) == http.StateNew && now.Sub(tra.opened) < firstRequestTimeout {
 		return false
 	}
 	tra.mut.Lock()
 	defer tra.mut.Unlock()
-	if tra.unanswered || tra.ending {
+	if !tra.quiet() {
 		return false
 	}
 	// Peek fails if there is nothing to read.
 	unread, err := tcpoptions.Peek(tra.TCPConn)
 	return err != nil || !unread
 }
+
+// quiet reports whether nothing that was read is waiting for an answer and none is being written; the caller holds mut. A
+// write clears unanswered before the answer is complete, so the state and the requests in buffers are looked at behind it.
+func (tra *trackedConnection) quiet() bool {
+	if tra.unanswered || tra.ending {
+		return false
+	}
+	if state := http.ConnState(tra.state.Load()); state != http.StateIdle && state != http.StateNew {
+		return false
+	}
+	outer := tra.outer.Load()
+	return outer == nil || !framing.Pending(*outer)
+}
