Check that pipelined requests told 408 have not run

Cause: TestAStopUnderPipelinedLoadLosesNoRequest counted a request that was told 408 as lost nowhere, but did not look whether it had run; the numbers of requests were the same for all clients. Change: each client has numbers of its own, and no request that was told 408 may have begun. Result: passes with -race, beside other load.

--- a/io/pipeline/stop_test.go
+++ b/io/pipeline/stop_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,10 +22,14 @@
 	stopRounds  = 8
 	stopClients = 24
 	stopBatch   = 5
+	// clientNumbers divides the numbers of requests among the clients.
+	clientNumbers = 1 << 20
 )
 
+var errNotRun = errors.New("the request has not run")
+
 // batch sends several requests at once and reads the answers. It returns how many were answered, whether the connection
-// goes on, and an error if it ended before an answer said so.
+// goes on, and an error if it ended before an answer said so, or errNotRun if the answer behind them is 408.
 func batch(con net.Conn, reader *bufio.Reader, from int) (answered int, goesOn bool, err error) {
 	var text strings.Builder
 	for number := range stopBatch {
@@ -43,7 +49,7 @@
 		case err != nil:
 			return number, false, err
 		case res.StatusCode == http.StatusRequestTimeout:
-			return number, false, nil
+			return number, false, errNotRun
 		case res.StatusCode != http.StatusOK || string(body) != fmt.Sprint(from+number):
 			return number, false, fmt.Errorf("request %d: status %d, %q", from+number, res.StatusCode, body)
 		case res.Close:
@@ -59,15 +65,19 @@
 	for round := range stopRounds {
 		ser := serve(t, nil)
 		var answered atomic.Int64
+		var notRun sync.Map
 		var clients sync.WaitGroup
 		for client := range stopClients {
 			ran := rand.New(rand.NewPCG(uint64(round), uint64(client)))
 			con, reader := connect(t, ser)
 			clients.Go(func() {
-				for from := 0; ; from += stopBatch {
+				for from := client * clientNumbers; ; from += stopBatch {
 					count, goesOn, err := batch(con, reader, from)
 					answered.Add(int64(count))
-					if err != nil {
+					switch {
+					case errors.Is(err, errNotRun):
+						notRun.Store(from+count, true)
+					case err != nil:
 						t.Errorf("round %d, client %d, request %d: %v", round, client, from+count, err)
 					}
 					if !goesOn {
@@ -84,5 +94,12 @@
 		require.Positive(t, answered.Load())
 		require.GreaterOrEqual(t, int64(ser.count("end")), answered.Load())
 		require.Zero(t, ser.pip.Room.Used())
+		for _, event := range ser.seen() {
+			kind, text, _ := strings.Cut(event, " ")
+			number, err := strconv.Atoi(text)
+			require.NoError(t, err)
+			_, told := notRun.Load(number)
+			require.False(t, told, "%s of request %d, which was told that it has not run", kind, number)
+		}
 	}
 }
