Send farewells in the test of a stop under pipelined load

Cause: no client of TestAStopUnderPipelinedLoadLosesNoRequest was ever told 408 in a trial: all pauses were shorter than the closing of the socket, so every connection ended with an answer and the new check had nothing to look at. Change: every other client pauses for up to 60 ms; the others pause as before. The test logs how many were told.

--- a/io/pipeline/stop_test.go
+++ b/io/pipeline/stop_test.go
@@ -22,6 +22,10 @@
 	stopRounds  = 8
 	stopClients = 24
 	stopBatch   = 5
+	// shortPause and longPause are the longest pauses between two batches, of every other client each. The closing of the
+	// socket takes longer than the short one, so that only connections with the long one are idle when farewells are sent.
+	shortPause = 5 * time.Millisecond
+	longPause  = 60 * time.Millisecond
 	// clientNumbers divides the numbers of requests among the clients.
 	clientNumbers = 1 << 20
 )
@@ -62,6 +66,7 @@
 // Guards against a planned stop that resets connections with pipelined requests, or loses one that was not told so: each
 // is answered, or behind an answer that ends the connection or says that it has not run.
 func TestAStopUnderPipelinedLoadLosesNoRequest(t *testing.T) {
+	var told atomic.Int64
 	for round := range stopRounds {
 		ser := serve(t, nil)
 		var answered atomic.Int64
@@ -70,6 +75,10 @@
 		for client := range stopClients {
 			ran := rand.New(rand.NewPCG(uint64(round), uint64(client)))
 			con, reader := connect(t, ser)
+			pause := shortPause
+			if client%2 == 1 {
+				pause = longPause
+			}
 			clients.Go(func() {
 				for from := client * clientNumbers; ; from += stopBatch {
 					count, goesOn, err := batch(con, reader, from)
@@ -77,6 +86,7 @@
 					switch {
 					case errors.Is(err, errNotRun):
 						notRun.Store(from+count, true)
+						told.Add(1)
 					case err != nil:
 						t.Errorf("round %d, client %d, request %d: %v", round, client, from+count, err)
 					}
@@ -84,7 +94,7 @@
 						_ = con.Close()
 						return
 					}
-					time.Sleep(time.Duration(ran.IntN(5000)) * time.Microsecond)
+					time.Sleep(time.Duration(ran.Int64N(int64(pause))))
 				}
 			})
 		}
@@ -102,4 +112,5 @@
 			require.False(t, told, "%s of request %d, which was told that it has not run", kind, number)
 		}
 	}
+	t.Logf("%d requests were told that they have not run", told.Load())
 }
