--- a/io/httplistener/trackedconnection.go
+++ b/io/httplistener/trackedconnection.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"flamingoreach/io/framing"
 	"flamingoreach/io/tcpoptions"
 )
 
@@ -32,6 +33,8 @@
 	// http2 is set on HTTP/2 connections, whose clients are notified of the shutdown by net/http.
 	http2  atomic.Bool
 	closed atomic.Bool
+	// outer is the connection that net/http uses, which knows of requests that were read but are still in buffers.
+	outer atomic.Pointer[net.Conn]
 
 	mut sync.Mutex
 	// unanswered is set by a read and cleared by a write: while it is set, a request has no answer yet.
@@ -84,7 +87,7 @@
 func (tra *trackedConnection) end() {
 	tra.mut.Lock()
 	defer tra.mut.Unlock()
-	if tra.unanswered || tra.ending {
+	if !tra.quiet() {
 		return
 	}
 	tra.ending = true
@@ -94,6 +97,16 @@
 	}
 }
 
+// linger tells the client that nothing more is sent, and reads what it sends until it has closed, or for lingerTime.
+func (tra *trackedConnection) linger() {
+	_ = tra.CloseWrite()
+	_ = tra.TCPConn.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.Copy(io.Discard, tra.TCPConn)
+}
+
+// awaitClose waits until the client has closed the connection; it fails at the read deadline.
+func (tra *trackedConnection) awaitClose() error { return tcpoptions.AwaitClose(tra.TCPConn) }
+
 // Close closes the connection and removes it from its set; it fails with net.ErrClosed after the first call.
 func (tra *trackedConnection) Close() error {
 	if tra.closed.Swap(true) {
@@ -105,21 +118,28 @@
 
 // allAnswered reports whether no request on the connection is waiting for an answer.
 func (tra *trackedConnection) allAnswered(now time.Time) bool {
-	switch http.ConnState(tra.state.Load()) {
-	case http.StateIdle:
-	case http.StateNew:
-		if now.Sub(tra.opened) < firstRequestTimeout {
-			return false
-		}
-	default:
+	if http.ConnState(tra.state.Load()) == http.StateNew && now.Sub(tra.opened) < firstRequestTimeout {
 		return false
 	}
 	tra.mut.Lock()
 	defer tra.mut.Unlock()
-	if tra.unanswered || tra.ending {
+	if !tra.quiet() {
 		return false
 	}
 	// Peek fails if there is nothing to read.
 	unread, err := tcpoptions.Peek(tra.TCPConn)
 	return err != nil || !unread
 }
+
+// quiet reports whether nothing that was read is waiting for an answer and none is being written; the caller holds mut. A
+// write clears unanswered before the answer is complete, so the state and the requests in buffers are looked at behind it.
+func (tra *trackedConnection) quiet() bool {
+	if tra.unanswered || tra.ending {
+		return false
+	}
+	if state := http.ConnState(tra.state.Load()); state != http.StateIdle && state != http.StateNew {
+		return false
+	}
+	outer := tra.outer.Load()
+	return outer == nil || !framing.Pending(*outer)
+}
