Fail answers without length whose connection was reset

A backend server answered a long upload at once with a 200 without length and reset the connection while the body was still being written. Such an answer now fails if the write of the request did.

A status below 100 was taken for an interim answer, so that the caller waited until its deadline; it is a bad answer now, as is 101, which no request asks for. Interim answers are bounded by the bytes of their heads alone; more than three of them made the answer fail before.

TestAnEarlyAnswerWithoutLengthThatIsResetFails, TestAnAnswerWithAnInvalidStatusFailsAtOnce and TestInterimAnswersAreSkipped fail without the change.

--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -29,9 +29,11 @@
 	// headBytes bounds the heads of all answers that are read for one request. The part of a body or of its framing that is
 	// in the connection's buffer by then counts too.
 	headBytes = 64 << 10
-	// maxAnswersPerRequest bounds the answers that are read for one request, with those to earlier requests and interim
-	// ones (1xx).
+	// maxAnswersPerRequest bounds the answers that are read for one request, with those to earlier requests. Interim ones
+	// (1xx) are bounded by headBytes.
 	maxAnswersPerRequest = 4
+	// lowestStatus is the lowest status code that HTTP defines. net/http accepts any three digits.
+	lowestStatus = 100
 )
 
 // The texts of these errors are sent on to the node that asked for a relayed probe (see peer.Ask).
@@ -39,6 +41,8 @@
 	errAnswerTooLong    = errors.New("the answer is longer than the bound")
 	errHeadTooLong      = errors.New("the heads of the answers are longer than the bound")
 	errNoMatchingAnswer = errors.New("too many answers belong to other requests")
+	errInvalidStatus    = errors.New("the answer has an invalid status")
+	errRequestReset     = errors.New("the connection was reset before the answer was known to be complete")
 )
 
 // connection is one HTTP/1.1 connection.
@@ -105,15 +109,30 @@
 	if err != nil && written == nil {
 		return Response{}, false, &Failure{Stage: Waiting, Cause: err}
 	}
-	res, keepAlive, err := con.receive(req, rul)
+	rec, err := con.receive(req, rul)
 	con.used = true
 	if err != nil {
 		return Response{}, false, err
 	}
-	if written != nil && <-written != nil {
-		keepAlive = false
+	if written != nil {
+		if err := <-written; err != nil && rec.unframed {
+			// The kernel reports a reset once, here to the write. The read then ends as if the answer were complete.
+			return Response{}, false, &Failure{Stage: Reading, Cause: errRequestReset}
+		} else if err != nil {
+			rec.keepAlive = false
+		}
 	}
-	return res, keepAlive && stop() && con.reader.Buffered() == 0, nil
+	return rec.Response, rec.keepAlive && stop() && con.reader.Buffered() == 0, nil
+}
+
+// received is the answer to a request.
+type received struct {
+	Response
+
+	// keepAlive says that the other end keeps the connection open.
+	keepAlive bool
+	// unframed says that only the end of the connection tells the end of the body.
+	unframed bool
 }
 
 // send writes a short request before it returns. It writes a long one on another goroutine, because the answer may come
@@ -136,37 +155,58 @@
 }
 
 // receive reads answers until it finds the one that belongs to the request.
-func (con *connection) receive(req *http.Request, rul Rules) (Response, bool, error) {
+func (con *connection) receive(req *http.Request, rul Rules) (received, error) {
 	con.head.left = headBytes
 	for range maxAnswersPerRequest {
-		con.head.on = true
-		htr, err := http.ReadResponse(con.reader, req)
-		con.head.on = false
+		htr, err := con.readFinalHead(req)
 		if err != nil {
-			return Response{}, false, &Failure{Stage: Waiting, Cause: err}
-		}
-		if htr.StatusCode < http.StatusOK {
-			continue
+			return received{}, &Failure{Stage: Waiting, Cause: err}
 		}
 		body, err := readBody(htr, rul.BodyBytes, con.room)
 		switch {
 		case err != nil:
-			return Response{}, false, &Failure{Stage: Reading, Cause: err}
+			return received{}, &Failure{Stage: Reading, Cause: err}
 		case int64(len(body)) > rul.BodyBytes:
-			return Response{}, false, &Failure{Stage: Reading, Cause: errAnswerTooLong}
+			return received{}, &Failure{Stage: Reading, Cause: errAnswerTooLong}
 		}
 		// Only a body that was read to its end is closed: Close reads the rest of it, which may be without end.
 		_ = htr.Body.Close()
 		if rul.Belongs != nil && !rul.Belongs(htr, !con.used) {
 			if htr.Close {
-				return Response{}, false, &Failure{Stage: Waiting, Cause: errNoMatchingAnswer}
+				return received{}, &Failure{Stage: Waiting, Cause: errNoMatchingAnswer}
 			}
 			continue
 		}
 		con.idleUntil = time.Now().Add(idleFor(htr.Header))
-		return Response{Status: htr.StatusCode, Header: htr.Header, Body: body}, !htr.Close, nil
+		return received{
+			Response:  Response{Status: htr.StatusCode, Header: htr.Header, Body: body},
+			keepAlive: !htr.Close, unframed: isUnframed(htr),
+		}, nil
+	}
+	return received{}, &Failure{Stage: Waiting, Cause: errNoMatchingAnswer}
+}
+
+// readFinalHead reads the head of an answer, after those of interim answers.
+func (con *connection) readFinalHead(req *http.Request) (*http.Response, error) {
+	con.head.on = true
+	defer func() { con.head.on = false }()
+	for {
+		htr, err := http.ReadResponse(con.reader, req)
+		switch {
+		case err != nil:
+			return nil, err
+		case htr.StatusCode < lowestStatus, htr.StatusCode == http.StatusSwitchingProtocols:
+			// No request asks for another protocol.
+			return nil, errInvalidStatus
+		case htr.StatusCode >= http.StatusOK:
+			return htr, nil
+		}
 	}
-	return Response{}, false, &Failure{Stage: Waiting, Cause: errNoMatchingAnswer}
+}
+
+// isUnframed reports whether only the end of the connection tells the end of an answer's body.
+func isUnframed(htr *http.Response) bool {
+	return htr.ContentLength < 0 && len(htr.TransferEncoding) == 0
 }
 
 // idleFor returns how long a connection may be idle after an answer.
--- a/io/http1/pool_test.go
+++ b/io/http1/pool_test.go
@@ -223,6 +223,77 @@
 	requireStage(t, http1.Reading, err)
 }
 
+// Guards against a part of an answer that is taken for the whole one: the reset of its connection was reported to the write
+// of the request's body, and the read then ended without an error. Which of the two gets it varies from try to try.
+func TestAnEarlyAnswerWithoutLengthThatIsResetFails(t *testing.T) {
+	const tries = 30
+	for name, test := range map[string]struct {
+		bodyBytes int
+		pause     time.Duration
+	}{
+		"short body":             {1 << 10, 0},
+		"body of 100 kB":         {100 << 10, 0},
+		"body of 2 MB":           {2 << 20, 0},
+		"body of 5 MB":           {5 << 20, 0},
+		"body of 5 MB, later":    {5 << 20, 20 * time.Millisecond},
+		"body that is not taken": {20 << 20, 20 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := serve(t, func(con net.Conn, reader *bufio.Reader) {
+				_, _ = http.ReadRequest(reader)
+				_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nhalf an answer")
+				time.Sleep(test.pause)
+				_ = con.(*net.TCPConn).SetLinger(0)
+			})
+			body := strings.Repeat("b", test.bodyBytes)
+			for range tries {
+				pl := http1.NewPool(time.Second)
+				res, err := exchange(t, pl, address, "a", body)
+				pl.Close()
+				require.Error(t, err, "taken for complete: %q", res.Body)
+			}
+		})
+	}
+}
+
+// Guards against an answer with an invalid status that is taken for an interim one, so that the caller waits for another
+// answer until its deadline.
+func TestAnAnswerWithAnInvalidStatusFailsAtOnce(t *testing.T) {
+	for _, line := range []string{
+		"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 020 OK", "HTTP/1.1 1000 OK", "HTTP/1.1 20 OK", "HTTP/1.1 abc OK", "HTTP/1.1 2x0 OK",
+		"HTTP/1.1 -20 OK", "HTTP/1.1  OK", "HTTP/1.1", "200 OK", "HTTP/ 200 OK", "HTTP/1.1 101 Switching Protocols",
+	} {
+		t.Run(line, func(t *testing.T) {
+			address, _ := serve(t, func(con net.Conn, reader *bufio.Reader) {
+				_, _ = readRequest(reader)
+				_, _ = io.WriteString(con, line+"\r\nId: a\r\nContent-Length: 4\r\n\r\nbody")
+				_, _ = reader.ReadByte()
+			})
+			pl := http1.NewPool(time.Second)
+			defer pl.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), testTime)
+			defer cancel()
+			req := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address.String(), Path: "/"}, ProtoMajor: 1, ProtoMinor: 1}
+			_, err := pl.Exchange(ctx, address, req, http1.Rules{BodyBytes: 1 << 20})
+			requireStage(t, http1.Waiting, err)
+			require.NoError(t, ctx.Err(), "the exchange ended before its deadline")
+		})
+	}
+}
+
+// Guards against a bound on interim answers that is below what a slow backend server sends.
+func TestInterimAnswersAreSkipped(t *testing.T) {
+	address, _ := serve(t, func(con net.Conn, reader *bufio.Reader) {
+		_, _ = readRequest(reader)
+		_, _ = io.WriteString(con, strings.Repeat("HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", 50)+answer("a", "whole"))
+	})
+	pl := http1.NewPool(time.Second)
+	defer pl.Close()
+	res, err := exchange(t, pl, address, "a", "")
+	require.NoError(t, err)
+	require.Equal(t, "whole", string(res.Body))
+}
+
 func TestAMalformedAnswerFails(t *testing.T) {
 	address, _ := serve(t, func(con net.Conn, reader *bufio.Reader) {
 		_, _ = readRequest(reader)
