--- a/io/backendserver/client.go
+++ b/io/backendserver/client.go
@@ -76,7 +76,11 @@
 
 func (cli *Client) exchange(ctx context.Context, address netip.AddrPort, cal call.Call, handleName string, msg message.Message) (message.Message, *refusal.Refusal) {
 	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	written := make(chan error, 1)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:      func(httptrace.GotConnInfo) { connected.Store(true) },
+		WroteRequest: func(wro httptrace.WroteRequestInfo) { written <- wro.Err },
+	})
 	htr, err := newRequest(ctx, address, cal, handleName, msg)
 	if err != nil {
 		return message.Message{}, refusal.NotRun(reason.HeaderInvalid, "build request to backend server")
@@ -87,6 +91,11 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(res.Body, cli.BodyBytes+1))
+	if err == nil && res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+		// Only the end of the connection ended the body. If it was reset, the kernel may have told that to the write of the
+		// request alone.
+		err = awaitWritten(ctx, written)
+	}
 	switch {
 	case ctx.Err() != nil:
 		return message.Message{}, refusal.Unknown(reason.Cancelled, "read answer of backend server")
@@ -104,6 +113,16 @@
 	return message.Message{Status: res.StatusCode, Header: message.EndToEnd(res.Header), Body: body}, nil
 }
 
+// awaitWritten returns the error with which the write of the request ended, or that of the context.
+func awaitWritten(ctx context.Context, written <-chan error) error {
+	select {
+	case err := <-written:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // newRequest sets a body that is never nil and cannot be rewound, so that the transport itself never retries a request
 // of which it has written any byte.
 func newRequest(ctx context.Context, address netip.AddrPort, cal call.Call, handleName string, msg message.Message) (*http.Request, error) {
