Write evacuations again after a restore in the soak

The stand-in store came back without the row of an evacuation, and the soak wrote only the configuration again, as operators do both. Both kinds of rows are now written again.

A test of evacuations asked a host whose own heartbeats had been missing for more than the silence limit; it now sends one first.

--- a/io/hostnode/evacuation_test.go
+++ b/io/hostnode/evacuation_test.go
@@ -145,6 +145,9 @@
 	hosts[1].storeUnreachable.Store(true)
 	before := hosts[1].runs.Load()
 	hosts[1].start(t, sto)
+	// The other host has had no heartbeat meanwhile, and may have taken its backend server to have ended.
+	require.NoError(t, hosts[0].ReceiveAnnouncement(t.Context(), hosts[0].announcement(localserver.Serving, 1)))
+	requireServing(t, hosts[:1], 1)
 	number := uint64(2)
 	for until := time.Now().Add(4 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
 		for _, hos := range hosts {
--- a/soak/evacuation.go
+++ b/soak/evacuation.go
@@ -59,6 +59,16 @@
 	}
 }
 
+// writeEvacuationsAgain brings the rows of evacuations back to what the operators wrote, after a restore of the store.
+func (fle *Fleet) writeEvacuationsAgain() {
+	fle.mut.Lock()
+	defer fle.mut.Unlock()
+	for _, hos := range fle.hosts {
+		_, evacuated := fle.evacuatedAt[hos.dataCentre]
+		fle.store.SetEvacuated(hos.dataCentre, evacuated)
+	}
+}
+
 // checkEvacuation reports a request that reached the backend server of a host whose data centre must be evacuated by now.
 func (fle *Fleet) checkEvacuation(hos *host, id string) {
 	fle.mut.Lock()
--- a/soak/restore.go
+++ b/soak/restore.go
@@ -46,6 +46,7 @@
 	if overtaken {
 		restore()
 		fle.changeConfiguration()
+		fle.writeEvacuationsAgain()
 		fle.setStoreFault(standin.NoFault)
 		return
 	}
@@ -55,6 +56,7 @@
 	fle.mut.Lock()
 	fle.store.PutConfiguration(fle.written)
 	fle.mut.Unlock()
+	fle.writeEvacuationsAgain()
 	for _, hos := range fle.hosts {
 		hos.recordFault()
 	}
