--- a/core/tokenshare/tokenshare.go
+++ b/core/tokenshare/tokenshare.go
@@ -8,7 +8,6 @@
 	"net/netip"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,6 +15,7 @@
 	"flamingoreach/core/clientaccount"
 	"flamingoreach/core/reason"
 	"flamingoreach/core/refusal"
+	"flamingoreach/core/tokenshare/hostswait"
 	"flamingoreach/core/tokenshare/loan"
 )
 
@@ -40,10 +40,6 @@
 	maxWaiting = 64
 	// retryAfter is the time after which a refused call may find a token: most bursts allow one second's calls at once.
 	retryAfter = time.Second
-	// hostsWait is how long a call waits after the start of this process until the hosts are known, which takes some round
-	// trips, and maxAwaitingHosts bounds the calls that do.
-	hostsWait        = time.Second
-	maxAwaitingHosts = 256
 	// unavailableRetryAfter is the time after which this host may know the account's tokens.
 	unavailableRetryAfter = 300 * time.Millisecond
 	// minHolderTokens is the least part of an account's burst at one holder.
@@ -55,10 +51,8 @@
 	// OnCallWaits, if set, is called when a call begins to wait for tokens; it must not block.
 	OnCallWaits func()
 
-	// hostsKnown is closed once the hosts are known; awaitingHosts counts the calls that wait for that.
-	hostsKnown    chan struct{}
-	announceHosts sync.Once
-	awaitingHosts atomic.Int64
+	// hostsWait ends once the hosts are known.
+	hostsWait *hostswait.Wait
 
 	mut     sync.Mutex
 	self    netip.AddrPort
@@ -90,7 +84,7 @@
 
 // New returns shares without accounts, which accrue nothing before the hosts are known.
 func New(self netip.AddrPort) *Shares {
-	return &Shares{self: self, hostsKnown: make(chan struct{}), buckets: map[string]*bucket{}}
+	return &Shares{self: self, hostsWait: hostswait.New(), buckets: map[string]*bucket{}}
 }
 
 // Configure sets the accounts of a new configuration version; those without a rate are not limited.
@@ -132,7 +126,7 @@
 		return
 	}
 	now := time.Now()
-	sha.announceHosts.Do(func() { close(sha.hostsKnown) })
+	sha.hostsWait.End()
 	sha.hosts = hosts
 	for name, buc := range sha.buckets {
 		buc.refill(now)
@@ -143,7 +137,7 @@
 // Take takes one token of an account; if there is none, it waits up to borrowWait for a borrowed one. It refuses a call as
 // beyond the rate only if this host can know that it is.
 func (sha *Shares) Take(ctx context.Context, account string) *refusal.Refusal {
-	if sha.limitsUnknown(account) && !sha.awaitHosts(ctx) {
+	if sha.limitsUnknown(account) && !sha.hostsWait.Await(ctx) {
 		return unavailable()
 	}
 	sha.mut.Lock()
@@ -183,33 +177,14 @@
 
 // limitsUnknown reports whether an account has a rate and the hosts among which it is divided are not known yet.
 func (sha *Shares) limitsUnknown(account string) bool {
-	select {
-	case <-sha.hostsKnown:
+	if sha.hostsWait.Over() {
 		return false
-	default:
 	}
 	sha.mut.Lock()
 	defer sha.mut.Unlock()
 	return sha.buckets[account] != nil
 }
 
-// awaitHosts waits up to hostsWait until the hosts are known, and reports whether they are.
-func (sha *Shares) awaitHosts(ctx context.Context) bool {
-	defer sha.awaitingHosts.Add(-1)
-	if sha.awaitingHosts.Add(1) > maxAwaitingHosts {
-		return false
-	}
-	timer := time.NewTimer(hostsWait)
-	defer timer.Stop()
-	select {
-	case <-sha.hostsKnown:
-		return true
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return false
-}
-
 // abandonWait removes a waiter, unless it has got its token in the meantime.
 func (sha *Shares) abandonWait(buc *bucket, granted chan struct{}) *refusal.Refusal {
 	sha.mut.Lock()
