Let the bound of a queue follow its length

A gate on the users' platform is created before its backend server has told its slots, so its queue began with two places. SetLength raised the length but never the bound, and nothing else raises it where the mechanism of standing delay is off: beyond an account's guaranteed places, calls were refused as queueFull although the queue had room. The bound now follows the length unless it was lowered. TestTheBoundFollowsTheLengthUnlessItWasLowered fails without the change.

--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -52,8 +52,11 @@
 // Length returns the configured number of places.
 func (que *Queue) Length() int { return que.length }
 
-// SetLength changes the configured number of places.
+// SetLength changes the configured number of places. A bound that was not lowered follows it.
 func (que *Queue) SetLength(length int) {
+	if que.bound == que.length {
+		que.bound = length
+	}
 	que.length = length
 	que.bound = min(que.bound, length)
 }
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -28,6 +28,19 @@
 	return que
 }
 
+// Guards against a gate that is created before the backend server has told its slots and keeps the few places that it had
+// then, so that calls are refused although the queue has room.
+func TestTheBoundFollowsTheLengthUnlessItWasLowered(t *testing.T) {
+	que := queue.New(2, equalWeight)
+	que.SetLength(10)
+	require.Equal(t, 10, que.Bound())
+	que.SetBound(4)
+	que.SetLength(20)
+	require.Equal(t, 4, que.Bound(), "queueing delay persists")
+	que.SetLength(3)
+	require.Equal(t, 3, que.Bound())
+}
+
 func TestCallsLeaveByWeightWithinAPriority(t *testing.T) {
 	que := queue.New(1000, func(account string) float64 { return map[string]float64{"a": 3, "b": 1}[account] })
 	for range 200 {
