--- a/io/departurelink/link.go
+++ b/io/departurelink/link.go
@@ -20,9 +20,9 @@
 const (
 	recordDeparture = "RecordDeparture"
 	askDeparture    = "AskDeparture"
-	// witnesses is the number of other nodes that are told of a departure. One of them may be lost, and one may be unknown
+	// replicaCount is the number of other nodes that are told of a departure. One of them may be lost, and one may be unknown
 	// to the restarted node.
-	witnesses = 3
+	replicaCount = 3
 	// recordTime is how long a node must have recorded departures before its word that there is none counts. A heartbeat
 	// that arrives later than that after a departure is not expected.
 	recordTime = 30 * time.Second
@@ -87,8 +87,8 @@
 // Kept returns the number of departures that this node keeps for other nodes.
 func (lin *Link) Kept() uint64 { return lin.kept.Load() }
 
-// Announce tells the witnesses of a departure. It returns once most of them have confirmed it, or when the context ends,
-// with the number of witnesses and of those that have confirmed. Messages to the others are still sent.
+// Announce tells the replica holders of a departure. It returns once most of them have confirmed it, or when the context
+// ends, with the number of replica holders and of those that have confirmed. Messages to the others are still sent.
 func (lin *Link) Announce(ctx context.Context, dep departure.Departure) (confirmed, asked int) {
 	msg := encodeDeparture(dep)
 	results, asked := send(lin, func(ctx context.Context, address netip.AddrPort) (struct{}, error) {
@@ -107,9 +107,9 @@
 	return confirmed, asked
 }
 
-// Ask asks the witnesses for the latest departure on this host; found is set if one of them knows of one. decided is set if
-// this node knows all members, and most of the witnesses have recorded departures for long enough to tell which one is the
-// latest, or that there is none. Ask first waits until this node knows all members.
+// Ask asks the replica holders for the latest departure on this host; found is set if one of them knows of one. decided is
+// set if this node knows all members, and most of the replica holders have recorded departures for long enough to tell which
+// one is the latest, or that there is none. Ask first waits until this node knows all members.
 func (lin *Link) Ask(ctx context.Context) (dep departure.Departure, found, decided bool) {
 	complete := lin.awaitMembers(ctx)
 	question := departureQuestion{Host: lin.Self.Peer}
@@ -155,7 +155,7 @@
 	}
 }
 
-// majority returns the number of witnesses that must confirm or answer. Of two majorities at least one node is in both.
+// majority returns the number of replica holders that must confirm or answer. Of two majorities at least one node is in both.
 func majority(asked int) int { return asked/2 + 1 }
 
 // result is the result of one message.
@@ -164,10 +164,10 @@
 	err   error
 }
 
-// send sends a message to each witness and returns a channel with room for all results, and their number. The messages
+// send sends a message to each replica holder and returns a channel with room for all results, and their number. The messages
 // outlast the sender's wait, because they matter to a later question.
 func send[T any](lin *Link, message func(ctx context.Context, address netip.AddrPort) (T, error)) (<-chan result[T], int) {
-	addresses := lin.witnesses()
+	addresses := lin.replicaHolders()
 	results := make(chan result[T], len(addresses))
 	for _, address := range addresses {
 		started := lin.Dispatcher.Tasks.Start(func(root context.Context) {
@@ -190,9 +190,9 @@
 	return results, len(addresses)
 }
 
-// witnesses returns the addresses of the other nodes that rendezvous hashing of this host's address ranks first. They are
+// replicaHolders returns the addresses of the other nodes that rendezvous hashing of this host's address ranks first. They are
 // nodes of the own region, where messages are quick and cheap, if there are enough.
-func (lin *Link) witnesses() []netip.AddrPort {
+func (lin *Link) replicaHolders() []netip.AddrPort {
 	type candidate struct {
 		address netip.AddrPort
 		weight  uint64
@@ -213,12 +213,12 @@
 		}
 		candidates = append(candidates, can)
 	}
-	if near >= witnesses {
+	if near >= replicaCount {
 		candidates = slices.DeleteFunc(candidates, func(can candidate) bool { return !can.near })
 	}
 	slices.SortFunc(candidates, func(can, other candidate) int { return cmp.Compare(other.weight, can.weight) })
-	addresses := make([]netip.AddrPort, 0, witnesses)
-	for _, can := range candidates[:min(witnesses, len(candidates))] {
+	addresses := make([]netip.AddrPort, 0, replicaCount)
+	for _, can := range candidates[:min(replicaCount, len(candidates))] {
 		addresses = append(addresses, can.address)
 	}
 	return addresses
