Count the ends of processes in the review case of large uploads

The platform's part, to start a process again, is now played, so that the rule is checked as written: three ends on two machines.

--- a/review/rig2/case.go
+++ b/review/rig2/case.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -62,7 +63,7 @@
 	trouble := os.Getenv("TROUBLE") != "0"
 	broken, err := cas.Run(ctx, fle, trouble)
 	for _, hos := range fle.Hosts {
-		rec.Write("at the end", "host", hos.name, "alive", hos.Alive(), "overMemory", hos.OverMemory(), "peakMb", hos.PeakMB())
+		rec.Write("at the end", "host", hos.name, "ends", hos.Ends(), "peakMb", hos.PeakMB())
 	}
 	if err != nil {
 		return cannotRun(err)
@@ -81,13 +82,24 @@
 	return exitCannotRun
 }
 
-// Dead names the nodes that have ended by themselves or were killed because they exceeded their memory.
-func (fle *Fleet) Dead() string {
-	dead := ""
+// The rule on processes that end by themselves: on a tenth of the machines, two at least, three times in a day.
+const (
+	endsPerDay     = 3
+	machineTenth   = 10
+	fewestMachines = 2
+)
+
+// EndedByThemselves returns on which machines processes have ended by themselves so often that the rule on that is broken, or
+// nothing if it holds. It is for cases that end no process.
+func (fle *Fleet) EndedByThemselves() string {
+	var ends []string
 	for _, hos := range fle.Hosts {
-		if !hos.Alive() {
-			dead += fmt.Sprintf("%s ended (over its memory of %d MB: %t); ", hos.name, hos.settings.MemoryMB, hos.OverMemory())
+		if hos.Ends() >= endsPerDay {
+			ends = append(ends, fmt.Sprintf("%s ended %d times", hos.name, hos.Ends()))
 		}
 	}
-	return dead
+	if len(ends) < max(fewestMachines, len(fle.Hosts)/machineTenth) {
+		return ""
+	}
+	return strings.Join(ends, ", ")
 }
--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -46,6 +46,8 @@
 	MemoryMB      int
 	GraceS        int
 	Slots         int
+	// DownTime is how long the backend server is away after a crash.
+	DownTime time.Duration
 }
 
 // Fleet is a store and the hosts that use it.
@@ -87,6 +89,7 @@
 		name: fmt.Sprintf("host%d", len(fle.Hosts)), folder: fle.folder,
 		Upstream: &Upstream{
 			Service: set.Service, Address: at(appPort), Control: at(controlPort), Slots: set.Slots, Record: fle.Record, Work: work,
+			DownTime: set.DownTime,
 		},
 	}
 	if err := os.WriteFile(hos.settingsFile(), []byte(settingsText(set, hos.name, at, fle.storeAddress)), fileMode); err != nil {
@@ -118,7 +121,7 @@
 // Close ends all processes of the fleet.
 func (fle *Fleet) Close() {
 	for _, hos := range fle.Hosts {
-		hos.Kill()
+		hos.Close()
 		hos.Upstream.Close()
 	}
 	_ = fle.server.Close()
--- a/review/rig2/host.go
+++ b/review/rig2/host.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -21,6 +22,8 @@
 	memoryInterval = 5 * time.Millisecond
 	kbPerMB        = 1 << 10
 	probeTimeout   = time.Second
+	// restartDelay is the platform's delay before it starts a process again.
+	restartDelay = 500 * time.Millisecond
 )
 
 // Host is a node process with its backend server.
@@ -31,74 +34,92 @@
 	name, folder, program string
 	settings              Settings
 	record                *Record
-	cmd                   *exec.Cmd
-	ended                 chan struct{}
 	peakKB                atomic.Int64
-	overLimit             atomic.Bool
-	ending                atomic.Bool
+	ends                  atomic.Int64
+
+	mut     sync.Mutex
+	process *os.Process
+	// ended is closed when the present process has ended. closing is set once no other one shall be started.
+	ended   chan struct{}
+	closing bool
 }
 
-// Start starts the node with the command of the deploy file. The platform's bound on its memory is enforced: a process that
-// exceeds it is killed.
+// Start starts the node with the command of the deploy file. The platform's part is played too: a process that exceeds its
+// memory is killed, and one that has ended is started again after restartDelay.
 func (hos *Host) Start() error {
+	hos.mut.Lock()
+	defer hos.mut.Unlock()
+	return hos.startLocked()
+}
+
+func (hos *Host) startLocked() error {
 	log, err := os.OpenFile(filepath.Join(hos.folder, hos.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, fileMode)
 	if err != nil {
 		return err
 	}
-	hos.cmd = exec.CommandContext(context.Background(), hos.program, "node")
-	hos.cmd.Env = append(os.Environ(), "FLAMINGOREACH_SETTINGS="+hos.settingsFile())
-	hos.cmd.Stdout, hos.cmd.Stderr = log, log
-	hos.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
-	if err := hos.cmd.Start(); err != nil {
+	cmd := exec.CommandContext(context.Background(), hos.program, "node")
+	cmd.Env = append(os.Environ(), "FLAMINGOREACH_SETTINGS="+hos.settingsFile())
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	if err := cmd.Start(); err != nil {
 		return err
 	}
 	ended := make(chan struct{})
-	hos.ended = ended
-	hos.record.Write("node started", "host", hos.name, "process", hos.cmd.Process.Pid, "outbound", hos.Outbound, "memoryMb", hos.settings.MemoryMB)
-	go hos.watchMemory(hos.cmd.Process, ended)
+	hos.process, hos.ended = cmd.Process, ended
+	hos.record.Write("node started", "host", hos.name, "process", cmd.Process.Pid, "outbound", hos.Outbound, "memoryMb", hos.settings.MemoryMB)
+	go hos.watchMemory(cmd.Process, ended)
 	go func() {
-		err := hos.cmd.Wait()
+		err := cmd.Wait()
 		_ = log.Close()
-		if !hos.ending.Load() {
-			hos.record.Write("node ended", "host", hos.name, "error", fmt.Sprint(err), "overMemory", hos.overLimit.Load(), "peakMb", hos.PeakMB())
-		}
 		close(ended)
+		hos.restart(err)
 	}()
 	return nil
 }
 
+// restart counts the end of a process and starts the next one, unless the fleet is being closed.
+func (hos *Host) restart(err error) {
+	hos.mut.Lock()
+	closing := hos.closing
+	hos.mut.Unlock()
+	if closing {
+		return
+	}
+	hos.record.Write("node ended", "host", hos.name, "error", fmt.Sprint(err), "ends", hos.ends.Add(1))
+	time.Sleep(restartDelay)
+	hos.mut.Lock()
+	defer hos.mut.Unlock()
+	if hos.closing {
+		return
+	}
+	if err := hos.startLocked(); err != nil {
+		hos.record.Write("node not started", "host", hos.name, "error", err)
+	}
+}
+
 // Signal sends a signal to the node.
 func (hos *Host) Signal(sig syscall.Signal) {
+	hos.mut.Lock()
+	defer hos.mut.Unlock()
 	hos.record.Write("signal", "host", hos.name, "signal", sig)
-	_ = hos.cmd.Process.Signal(sig)
+	_ = hos.process.Signal(sig)
 }
 
-// Ended returns a channel that is closed when the node has ended.
-func (hos *Host) Ended() <-chan struct{} { return hos.ended }
-
-// Alive reports whether the node runs.
-func (hos *Host) Alive() bool {
-	select {
-	case <-hos.ended:
-		return false
-	default:
-		return true
-	}
-}
+// Ends returns how often the node has ended.
+func (hos *Host) Ends() int { return int(hos.ends.Load()) }
 
-// Kill kills the node and waits for its end.
-func (hos *Host) Kill() {
-	if hos.cmd == nil || hos.cmd.Process == nil {
+// Close kills the node and waits for its end.
+func (hos *Host) Close() {
+	hos.mut.Lock()
+	defer hos.mut.Unlock()
+	hos.closing = true
+	if hos.process == nil {
 		return
 	}
-	hos.ending.Store(true)
-	_ = hos.cmd.Process.Kill()
+	_ = hos.process.Kill()
 	<-hos.ended
 }
 
-// OverMemory reports whether the node was killed because it exceeded its memory.
-func (hos *Host) OverMemory() bool { return hos.overLimit.Load() }
-
 // PeakMB returns the most memory that the node was seen to use.
 func (hos *Host) PeakMB() int64 { return hos.peakKB.Load() / kbPerMB }
 
@@ -133,9 +154,10 @@
 		if used > hos.peakKB.Load() {
 			hos.peakKB.Store(used)
 		}
-		if used > int64(hos.settings.MemoryMB)*kbPerMB && !hos.overLimit.Swap(true) {
+		if used > int64(hos.settings.MemoryMB)*kbPerMB {
 			hos.record.Write("memory exceeded", "host", hos.name, "usedMb", used/kbPerMB, "boundMb", hos.settings.MemoryMB)
 			_ = process.Kill()
+			return
 		}
 	}
 }
--- a/review/rig2/upstream.go
+++ b/review/rig2/upstream.go
@@ -27,40 +27,81 @@
 	Control netip.AddrPort
 	Slots   int
 	Record  *Record
-	// Work runs a request whose body was read and returns the body of the answer. If it returns nil, the connection is
-	// closed without an answer.
-	Work func(req *http.Request, body []byte) []byte
+	// Work runs a request whose body was read and returns the body of the answer. If it returns nil, the request crashes the
+	// process, which is back after DownTime with another ID.
+	Work     func(req *http.Request, body []byte) []byte
+	DownTime time.Duration
 
-	born     time.Time
+	// born is the start of the present process in Unix milliseconds.
+	born     atomic.Int64
 	sequence atomic.Int64
 	draining atomic.Bool
+	crashed  chan struct{}
 	mut      sync.Mutex
 	runs     map[string]int
-	server   *http.Server
 	stop     context.CancelFunc
 	ended    sync.WaitGroup
 }
 
 // ID returns the ID of the process.
-func (ups *Upstream) ID() string { return fmt.Sprintf("i-%s-%d", ups.Address, ups.born.UnixMilli()) }
+func (ups *Upstream) ID() string { return fmt.Sprintf("i-%s-%d", ups.Address, ups.born.Load()) }
 
 // Start listens and announces itself until Close.
 func (ups *Upstream) Start(ctx context.Context) error {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", ups.Address.String())
+	ups.runs, ups.crashed = map[string]int{}, make(chan struct{}, 1)
+	listener, err := ups.listen(ctx)
 	if err != nil {
 		return err
 	}
-	ups.born, ups.runs = time.Now(), map[string]int{}
-	ups.server = &http.Server{Handler: ups, ReadHeaderTimeout: headerTimeout}
 	ctx, ups.stop = context.WithCancel(ctx)
-	ups.ended.Go(func() { _ = ups.server.Serve(listener) })
 	ups.ended.Go(func() {
+		for err == nil && ctx.Err() == nil {
+			ups.serve(ctx, listener)
+			wait(ctx, ups.DownTime)
+			if ctx.Err() == nil {
+				listener, err = ups.listen(ctx)
+			}
+		}
+	})
+	return nil
+}
+
+func (ups *Upstream) listen(ctx context.Context) (net.Listener, error) {
+	ups.born.Store(time.Now().UnixMilli())
+	ups.sequence.Store(0)
+	return (&net.ListenConfig{}).Listen(ctx, "tcp", ups.Address.String())
+}
+
+// serve runs one process until it crashes or the context ends.
+func (ups *Upstream) serve(ctx context.Context, listener net.Listener) {
+	server := &http.Server{Handler: ups, ReadHeaderTimeout: headerTimeout}
+	ctx, cancel := context.WithCancel(ctx)
+	var ended sync.WaitGroup
+	ended.Go(func() { _ = server.Serve(listener) })
+	ended.Go(func() {
 		for ctx.Err() == nil {
 			ups.heartbeat(ctx)
 			wait(ctx, heartbeatInterval)
 		}
 	})
-	return nil
+	select {
+	case <-ctx.Done():
+	case <-ups.crashed:
+		ups.Record.Write("upstream crashed", "upstream", ups.Address)
+	}
+	cancel()
+	_ = server.Close()
+	ended.Wait()
+}
+
+// crash ends the process of a request.
+func (ups *Upstream) crash(ctx context.Context) {
+	select {
+	case ups.crashed <- struct{}{}:
+	default:
+	}
+	<-ctx.Done()
+	panic(http.ErrAbortHandler)
 }
 
 // Close ends the process.
@@ -69,7 +110,6 @@
 		return
 	}
 	ups.stop()
-	_ = ups.server.Close()
 	ups.ended.Wait()
 }
 
@@ -110,7 +150,7 @@
 	}
 	answer := ups.Work(req, body)
 	if answer == nil {
-		panic(http.ErrAbortHandler)
+		ups.crash(req.Context())
 	}
 	wri.Header().Set("Response-Signature", "signed."+id)
 	wri.Header().Set("Content-Length", fmt.Sprint(len(answer)))
@@ -126,7 +166,7 @@
 		state = "draining"
 	}
 	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":"v1","slots":%d,"state":%q,"coldRemainingMs":0,"seq":%d,"born":%d}`,
-		ups.Service, ups.Address, ups.Slots, state, ups.sequence.Add(1), ups.born.UnixMilli())
+		ups.Service, ups.Address, ups.Slots, state, ups.sequence.Add(1), ups.born.Load())
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost,
 		"http://"+ups.Control.String()+"/v1/rpc?call=instances.heartbeat&of="+ups.ID(), strings.NewReader(body))
 	if err != nil {
