--- a/review/9/main.go
+++ b/review/9/main.go
@@ -1,15 +1,13 @@
-// Command 9 counts how often pipelined requests run whose answers find no room at their node.
+// Command 9 counts how often a request that crashes upstreams reaches them, while requests that differ from it only in their
+// query are served.
 package main
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,111 +16,122 @@
 )
 
 const (
-	timeLimitMs = 8000
-	// slowWorkTime is added to workTime for the first request of each connection.
-	slowWorkTime = time.Second
-	workTime     = 150 * time.Millisecond
-	answerBytes  = 400 << 10
-	clients      = 80
-	pipelined    = 8
-	rounds       = 2
-	// The bound on repeats in a window of budgetWindow: budgetRatio of the requests, and budgetSlack.
-	budgetWindow = 10 * time.Second
-	budgetRatio  = 0.2
-	budgetSlack  = 48
+	timeLimitMs = 2000
+	workTime    = 20 * time.Millisecond
+	answerBytes = 5000
+	downTime    = 2 * time.Second
+	playTime    = 60 * time.Second
+	// The crashing request comes again each crashInterval, another request each otherInterval.
+	crashInterval = 4 * time.Second
+	otherInterval = 50 * time.Millisecond
+	crashQuery    = "item=13"
+	// The rule counts the retries that are sent later than contactTime after the third crash, and allows three of them.
+	contactTime    = 3 * time.Second
+	crashes        = 3
+	allowedRetries = 3
 )
 
+// reached holds when the crashing request reached an upstream.
+var reached struct {
+	sync.Mutex
+
+	at []time.Time
+}
+
 func main() {
 	host := func(service string) rig2.Settings {
-		return rig2.Settings{Zone: "ams-a", Service: service, MemoryMB: 284, GraceS: 6, Slots: 104}
+		return rig2.Settings{Zone: "ams-a", Service: service, MemoryMB: 284, GraceS: 6, Slots: 104, DownTime: downTime}
 	}
 	os.Exit(rig2.Case{
 		Configuration: rig2.Configuration(1,
-			rig2.Route{Name: "r-q", Prefix: "/leny950/", Service: "quotes", Kind: "idempotent", TimeoutMs: timeLimitMs, MaxAttempts: 2}),
-		Hosts: []rig2.Settings{host("margins"), host("quotes"), host("quotes")},
-		Work: func(req *http.Request, _ []byte) []byte {
-			if strings.HasSuffix(req.URL.Path, "/0") {
-				time.Sleep(slowWorkTime)
-			}
-			time.Sleep(workTime)
-			return make([]byte, answerBytes)
-		},
-		Run: run,
+			rig2.Route{Name: "r-q", Prefix: "/leny950/", Service: "quotes", Kind: "idempotent", TimeoutMs: timeLimitMs, MaxAttempts: 1}),
+		Hosts: []rig2.Settings{host("margins"), host("quotes"), host("quotes"), host("quotes")},
+		Work:  work,
+		Run:   run,
 	}.Main())
 }
 
-// run lets the clients send their requests, pipelined or, without trouble, one after the other.
-func run(ctx context.Context, fle *rig2.Fleet, trouble bool) (string, error) {
-	ahead := pipelined
-	if !trouble {
-		ahead = 1
+func work(req *http.Request, _ []byte) []byte {
+	if req.URL.RawQuery == crashQuery {
+		reached.Lock()
+		defer reached.Unlock()
+		reached.at = append(reached.at, time.Now())
+		return nil
 	}
-	began := time.Now()
-	var sent, answered atomic.Int64
+	time.Sleep(workTime)
+	return make([]byte, answerBytes)
+}
+
+// run sends the crashing request, if there is trouble, and the others, and counts the late retries of the first.
+func run(ctx context.Context, fle *rig2.Fleet, trouble bool) (string, error) {
+	playing, cancel := context.WithTimeout(ctx, playTime)
+	defer cancel()
 	var sending sync.WaitGroup
-	for client := range clients {
+	var sent, served atomic.Int64
+	if trouble {
 		sending.Go(func() {
-			for round := range rounds * pipelined / ahead {
-				sent.Add(int64(ahead))
-				answered.Add(int64(exchange(ctx, fle, fmt.Sprintf("read-%d-%d", client, round), ahead)))
-			}
+			each(playing, crashInterval, func(number int) { get(ctx, fle, fmt.Sprint("crash-", number), crashQuery) })
 		})
 	}
+	each(playing, otherInterval, func(number int) {
+		sending.Go(func() {
+			sent.Add(1)
+			if get(ctx, fle, fmt.Sprint("other-", number), fmt.Sprint("item=", 100+number)) == http.StatusOK {
+				served.Add(1)
+			}
+		})
+	})
 	sending.Wait()
-	took := time.Since(began)
-	runs, repeats := map[string]int{}, 0
-	for _, hos := range fle.Hosts {
-		hos.Upstream.Arrivals(runs)
-	}
-	for _, count := range runs {
-		repeats += count - 1
+	reached.Lock()
+	defer reached.Unlock()
+	retries := 0
+	for index, at := range reached.at {
+		if index >= crashes && at.Sub(reached.at[crashes-1]) > contactTime {
+			retries++
+		}
 	}
-	fle.Record.Write("counted", "sent", sent.Load(), "answered", answered.Load(), "ran", len(runs), "repeats", repeats, "took", took)
-	allowed := budgetRatio*float64(sent.Load()) + budgetSlack
-	switch {
-	case float64(repeats) <= allowed:
+	fle.Record.Write("counted", "reached", len(reached.at), "lateRetries", retries, "othersSent", sent.Load(), "othersServed", served.Load())
+	if retries <= allowedRetries {
 		return "", nil
-	case took > budgetWindow:
-		return "", fmt.Errorf("it took %s, longer than the window", took)
 	}
-	return fmt.Sprintf("%d repeats of %d requests within %s, allowed are %.0f", repeats, sent.Load(), took, allowed), nil
+	return fmt.Sprintf("the request reached upstreams %d times, %d of them later than %s after its third crash; %d are allowed",
+		len(reached.at), retries, contactTime, allowedRetries), nil
+}
+
+// each calls a function at an interval, with the number of the call, until the context ends.
+func each(ctx context.Context, interval time.Duration, call func(number int)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for number := 1; ; number++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			call(number)
+		}
+	}
 }
 
-// exchange sends requests at once on one connection and returns the number of complete answers.
-func exchange(ctx context.Context, fle *rig2.Fleet, id string, count int) int {
+func get(ctx context.Context, fle *rig2.Fleet, id, query string) int {
 	ctx, cancel := context.WithTimeout(ctx, timeLimitMs*time.Millisecond)
 	defer cancel()
-	con, err := (&net.Dialer{}).DialContext(ctx, "tcp", fle.Hosts[0].Outbound.String())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+fle.Hosts[0].Outbound.String()+"/leny950/2f?"+query, http.NoBody)
 	if err != nil {
-		fle.Record.Write("no connection", "id", id, "error", err)
+		fle.Record.Write("not sent", "id", id, "error", err)
 		return 0
 	}
-	defer func() { _ = con.Close() }()
-	defer context.AfterFunc(ctx, func() { _ = con.Close() })()
-	text := ""
-	for number := range count {
-		text += fmt.Sprintf("GET /leny950/%d HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s-%d\r\nDeadline-Ms: %d\r\nAuthorization: Bearer %s\r\n\r\n",
-			number, rig2.HostName, id, number, timeLimitMs, rig2.Key)
-	}
-	fle.Record.Write("sent", "ids", id, "requests", count)
-	if _, err := io.WriteString(con, text); err != nil {
-		fle.Record.Write("not sent", "ids", id, "error", err)
+	req.Host = rig2.HostName
+	req.Header.Set("Attempt-Id", id)
+	req.Header.Set("Deadline-Ms", fmt.Sprint(timeLimitMs))
+	req.Header.Set("Authorization", "Bearer "+rig2.Key)
+	fle.Record.Write("sent", "id", id, "query", query)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		fle.Record.Write("no answer", "id", id, "error", err)
 		return 0
 	}
-	reader := bufio.NewReader(con)
-	for number := range count {
-		res, err := http.ReadResponse(reader, nil)
-		if err != nil {
-			fle.Record.Write("no answer", "id", fmt.Sprintf("%s-%d", id, number), "error", err)
-			return number
-		}
-		length, err := io.Copy(io.Discard, res.Body)
-		_ = res.Body.Close()
-		if err != nil {
-			fle.Record.Write("no whole answer", "id", res.Header.Get("Attempt-Id"), "error", err)
-			return number
-		}
-		fle.Record.Write("answered", "id", res.Header.Get("Attempt-Id"), "status", res.StatusCode, "bytes", length)
-	}
-	return count
+	length, err := io.Copy(io.Discard, res.Body)
+	_ = res.Body.Close()
+	fle.Record.Write("answered", "id", id, "status", res.StatusCode, "bytes", length, "whole", err == nil)
+	return res.StatusCode
 }
