--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -139,6 +139,11 @@
 
 // Configuration returns the text of a configuration with one client account without a limit.
 func Configuration(version uint64, routes ...Route) string {
+	return LimitedConfiguration(version, 0, 0, routes...)
+}
+
+// LimitedConfiguration is Configuration with a limit of the client account.
+func LimitedConfiguration(version uint64, ratePerS, burst int, routes ...Route) string {
 	var rows []string
 	for _, rou := range routes {
 		rows = append(rows, fmt.Sprintf(`[%q,%q,%q,%q,%d,1500,1,null,%d,false,%q]`,
@@ -148,8 +153,8 @@
 		`"weightedClusters","maxAttempts","public","service"],"rows":[%s]},"services":{"columns":["name","healthPath","maxConnections","protocol","tls"],`+
 		`"rows":[["quotes","/health",724,"h1",false],["margins","/health",724,"h1",false]]},`+
 		`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000},`+
-		`"tenants":{"columns":["name","apiKeys","priority","ratePerS","burst"],"rows":[["pulo780",[%q],1,0,0]]},"baseVersion":"00000000"}`,
-		version, strings.Join(rows, ","), Key)
+		`"tenants":{"columns":["name","apiKeys","priority","ratePerS","burst"],"rows":[["pulo780",[%q],1,%d,%d]]},"baseVersion":"00000000"}`,
+		version, strings.Join(rows, ","), Key, ratePerS, burst)
 }
 
 // settingsText returns the settings file of a host as the platform's pages show it.
