Bound the memory of remembered calls by that of the machine

A gate remembers the ID of each call until its deadline. Clients that send requests faster than they can be served made a node of 96 MB hold 27 MB for refused calls: the bound of 131,072 calls is not in proportion to such a machine, and evicted calls stayed in memory until their deadlines, as the buckets by expiry and the list of settled calls still referred to them.

A gate now remembers as many calls as fit into a sixteenth of the process's memory, and an evicted call leaves its bucket. Which calls may be evicted is unchanged, so that none runs twice.

TestAnEvictedCallTakesNoMemory failed before: all of 300 entries were held, where 100 are permitted.

--- a/core/dedupe/dedupe.go
+++ b/core/dedupe/dedupe.go
@@ -49,7 +49,7 @@
 		ownerSince: started,
 		calls:      map[uuid.UUID]*Entry{},
 		keys:       map[scopedKey]*Entry{},
-		expiries:   expiryBuckets{seconds: map[int64][]*Entry{}, sweptUntil: started.Unix()},
+		expiries:   expiryBuckets{seconds: map[int64]map[*Entry]struct{}{}, sweptUntil: started.Unix()},
 	}
 }
 
@@ -184,6 +184,9 @@
 			tab.newestEvicted = created
 		}
 		tab.removeID(ent)
+		if ent.removed() {
+			tab.expiries.remove(ent)
+		}
 	}
 	return true
 }
--- a/core/dedupe/dedupe_test.go
+++ b/core/dedupe/dedupe_test.go
@@ -1,9 +1,11 @@
 package dedupe_test
 
 import (
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
+	"weak"
 
 	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
@@ -146,3 +148,28 @@
 		require.Equal(t, reason.HomeLost, ref.Reason)
 	})
 }
+
+// Guards against evicted calls that take memory until their deadlines.
+func TestAnEvictedCallTakesNoMemory(t *testing.T) {
+	const calls = 100
+	tab := newTable(calls)
+	var entries []weak.Pointer[dedupe.Entry]
+	for range 3 * calls {
+		cal := newCall("")
+		cal.Idempotent = true
+		ent, fresh, ref := tab.Begin(cal, time.Now())
+		require.True(t, fresh)
+		require.Nil(t, ref)
+		tab.Settle(ent, answer.Answer{Refusal: refusal.NotRun(reason.QueueFull, "t")}, nil, 0, time.Now())
+		entries = append(entries, weak.Make(ent))
+	}
+	runtime.GC()
+	held := 0
+	for _, ent := range entries {
+		if ent.Value() != nil {
+			held++
+		}
+	}
+	require.LessOrEqual(t, held, calls+1)
+	runtime.KeepAlive(tab)
+}
--- a/core/dedupe/entry.go
+++ b/core/dedupe/entry.go
@@ -31,6 +31,8 @@
 	size    int
 	// heldByID and heldByKey say which of the table's maps hold the entry.
 	heldByID, heldByKey bool
+	// bucket is the second in whose bucket the entry expires.
+	bucket int64
 }
 
 // scopedKey is an idempotency key with its scope, one account and route.
--- a/core/dedupe/fifo.go
+++ b/core/dedupe/fifo.go
@@ -22,6 +22,7 @@
 		return nil
 	}
 	ent := fif.entries[0]
+	fif.entries[0] = nil
 	fif.entries = fif.entries[1:]
 	return ent
 }
@@ -29,25 +30,30 @@
 // expiryBuckets holds entries by the second in which they expire, as Unix time. All buckets up to sweptUntil were
 // removed.
 type expiryBuckets struct {
-	seconds    map[int64][]*Entry
+	seconds    map[int64]map[*Entry]struct{}
 	sweptUntil int64
 }
 
 func (exp *expiryBuckets) add(ent *Entry, at time.Time) {
-	second := at.Unix() + 1
-	if second <= exp.sweptUntil {
-		second = exp.sweptUntil + 1
+	ent.bucket = max(at.Unix()+1, exp.sweptUntil+1)
+	bucket := exp.seconds[ent.bucket]
+	if bucket == nil {
+		bucket = map[*Entry]struct{}{}
+		exp.seconds[ent.bucket] = bucket
 	}
-	exp.seconds[second] = append(exp.seconds[second], ent)
+	bucket[ent] = struct{}{}
 }
 
+// remove removes an entry from the bucket to which it was added last.
+func (exp *expiryBuckets) remove(ent *Entry) { delete(exp.seconds[ent.bucket], ent) }
+
 // popDue removes the buckets of past seconds and calls each for their entries.
 func (exp *expiryBuckets) popDue(now time.Time, each func(ent *Entry)) {
 	for ; exp.sweptUntil < now.Unix(); exp.sweptUntil++ {
 		second := exp.sweptUntil + 1
 		entries := exp.seconds[second]
 		delete(exp.seconds, second)
-		for _, ent := range entries {
+		for ent := range entries {
 			each(ent)
 		}
 	}
--- a/io/hostnode/node.go
+++ b/io/hostnode/node.go
@@ -169,7 +169,7 @@
 		evacuationLog: decisionlog.New(logger, evacuationLinesPerSecond),
 		control:       control.New(eventQueueLength),
 		tasks:         tasks.New(taskLimit),
-		gate:          gate.New(gatePolicy(0)),
+		gate:          gate.New(gatePolicy(0, set.MemoryBytes)),
 		pacer:         coldpacer.New(),
 		picker:        pick.New(locality.Locality{Region: set.Region, DataCentre: set.DataCentre}),
 		splitter:      splitter.New(),
--- a/io/hostnode/server.go
+++ b/io/hostnode/server.go
@@ -31,6 +31,10 @@
 	// maxDedupeBytes bounds the answers that are kept for duplicate deliveries. What matters is the ID of each call,
 	// not its answer.
 	maxDedupeBytes = 256 << 10
+	// dedupeDivisor divides the memory of the process to get the bound of all remembered calls together, which take about
+	// dedupeCallBytes each.
+	dedupeDivisor   = 16
+	dedupeCallBytes = 768
 	// sweepInterval is the time between two searches for connections that were idle too long.
 	sweepInterval = time.Second
 )
@@ -42,11 +46,12 @@
 	localserver.Absent:   change.Eject,
 }
 
-func gatePolicy(slots int) gatepolicy.Policy {
+func gatePolicy(slots int, memoryBytes int64) gatepolicy.Policy {
 	usable := max(int(float64(slots)*slotsFraction), 1)
 	return gatepolicy.Policy{
 		Slots: usable, QueueLength: queueLengthFactor * usable, QueueWait: longestQueueWait,
 		QuarantineTime: quarantineTime, MaxDeeperReserve: maxDeeperReserve, RetrySuspects: true, MaxDedupeBytes: maxDedupeBytes,
+		MaxDedupeCalls: min(int(memoryBytes/dedupeDivisor/dedupeCallBytes), gatepolicy.DefaultMaxDedupeCalls),
 		// The gate need not estimate the capacity: the backend server announces its slots, and the duration of calls
 		// that wait for deeper calls says nothing about its own speed.
 		Off: gatepolicy.AdaptiveLimit | gatepolicy.QueueDelay | gatepolicy.AdmissionLevel,
@@ -58,7 +63,7 @@
 	nod.localServer.Open = func(ann announcement.Announcement) {
 		nod.departures.latest = nil
 		nod.backend.Store(&ann)
-		nod.gate.Configure(gatePolicy(ann.Slots))
+		nod.gate.Configure(gatePolicy(ann.Slots, nod.settings.MemoryBytes))
 		nod.gate.SetState(gate.Warming)
 		nod.gate.SetState(gate.Serving)
 	}
