Let pipelined answers without room wait for their turn

An answer of a request that was run ahead was dropped if there was no room for it, and the request ran again at its turn.

The handler now waits in Write until the request's turn and writes the rest to the connection itself. If it gives up the wait, because the request is cancelled or its answer has to give way, the connection ends within the answer. The chart has the states blocked, passing, givenUp and cut in place of overflowing, dropped and runAgain.

TestAnAnswerWithoutRoomRunsAgainAtItsTurn asserted the fault: one run more than requests. TestAnAnswerWithoutRoomWaitsForItsTurn takes its place, with the same answers and order, and one run for each request. The metric pipeline_requests_run_again becomes pipeline_answers_waited.

--- a/io/hostnode/pipelining.go
+++ b/io/hostnode/pipelining.go
@@ -31,7 +31,7 @@
 	}
 	nod.metrics.Gauge("pipeline_requests_ahead", func() float64 { return float64(pip.Started()) })
 	nod.metrics.Gauge("pipeline_requests_cancelled", func() float64 { return float64(pip.Cancelled()) })
-	nod.metrics.Gauge("pipeline_requests_run_again", func() float64 { return float64(pip.RunAgain()) })
+	nod.metrics.Gauge("pipeline_answers_waited", func() float64 { return float64(pip.Waited()) })
 	nod.metrics.Gauge("pipeline_answer_bytes", func() float64 { return float64(answers.Used()) })
 	return pip
 }
--- a/io/pipeline/early.go
+++ b/io/pipeline/early.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"flamingoreach/charts"
 	"flamingoreach/core/machine"
@@ -19,23 +20,31 @@
 	headerBytes = 4 << 10
 )
 
-var errNoRoom = errors.New("there is no room for the answer")
-
 // The events of the chart requestAhead.
 const (
 	returned  = "returned"
 	noRoom    = "noRoom"
 	turn      = "turn"
+	gaveUp    = "gaveUp"
 	abandoned = "abandoned"
 )
 
+// The states that decide what happens at a turn.
+const (
+	passing = "passing"
+	cut     = "cut"
+)
+
 var requestAhead = machine.MustNew(charts.MustLoad("requestAhead"),
-	[]string{returned, noRoom, turn, abandoned}, nil,
+	[]string{returned, noRoom, turn, gaveUp, abandoned}, nil,
 	map[string]func(*early){
-		"cancel":       func(ear *early) { ear.cancel() },
-		"dropAnswer":   func(ear *early) { ear.body = nil },
-		"giveBackRest": func(ear *early) { ear.keepRoom(int64(len(ear.body)) + headerBytes) },
-		"giveBackAll":  func(ear *early) { ear.keepRoom(0) },
+		"cancel":        func(ear *early) { ear.cancel() },
+		"reportBlocked": func(ear *early) { close(ear.blocked) },
+		"giveBackRest":  func(ear *early) { ear.keepRoom(int64(len(ear.body)) + headerBytes) },
+		"giveBackAll": func(ear *early) {
+			ear.body = nil
+			ear.keepRoom(0)
+		},
 	})
 
 // early is a request that is run ahead of its turn, and the http.ResponseWriter that keeps its answer until then.
@@ -46,12 +55,15 @@
 	// ended is closed when the handler has returned, and panicked is what it panicked with.
 	ended    chan struct{}
 	panicked any
+	// blocked is closed when the handler waits for its turn, and unblocked when it may write to out, which is set at its turn.
+	blocked, unblocked chan struct{}
+	out                atomic.Pointer[output]
 
-	// The answer belongs to the goroutine that runs the handler until that has returned.
+	// The answer belongs to the goroutine that runs the handler until that has returned or waits.
 	header http.Header
 	status int
-	// dropped is set if there was no room for the answer.
-	dropped bool
+	// lost is set once a Write has given up.
+	lost error
 
 	mut sync.Mutex
 	// state is the state in the chart requestAhead.
@@ -61,6 +73,9 @@
 	taken int64
 }
 
+// output is where an answer is written at its turn.
+type output struct{ http.ResponseWriter }
+
 // fire takes an event of the chart.
 func (ear *early) fire(event string) {
 	ear.mut.Lock()
@@ -68,6 +83,13 @@
 	ear.state = requestAhead.Fire(ear, ear.state, event)
 }
 
+// isCut reports whether the handler returned before it could write the whole answer.
+func (ear *early) isCut() bool {
+	ear.mut.Lock()
+	defer ear.mut.Unlock()
+	return ear.state == cut
+}
+
 // end is called when the handler has returned.
 func (ear *early) end() {
 	ear.cancel()
@@ -92,23 +114,68 @@
 	}
 }
 
-// Write adds to the body; if there is no room for it, the answer is dropped.
+// Write adds to the body. If there is no room for it, Write waits for the request's turn and writes to the connection.
 func (ear *early) Write(part []byte) (int, error) {
 	ear.WriteHeader(http.StatusOK)
-	if ear.dropped || !ear.add(part) {
-		if !ear.dropped {
-			ear.dropped = true
-			ear.fire(noRoom)
-		}
-		return 0, errNoRoom
+	if ear.lost != nil {
+		return 0, ear.lost
+	}
+	if ear.add(part) {
+		return len(part), nil
+	}
+	ear.fire(noRoom)
+	select {
+	case <-ear.unblocked:
+		return ear.out.Load().Write(part)
+	case <-ear.req.Context().Done():
+	}
+	ear.lost = ear.req.Context().Err()
+	ear.fire(gaveUp)
+	if ear.out.Load() != nil {
+		// What is kept is being written, and with it the header.
+		<-ear.unblocked
+	}
+	return 0, ear.lost
+}
+
+// SetWriteDeadline ends a Write that waits, and at the request's turn sets the deadline of the connection. It is for
+// deadlines that have passed, with which an answer is given up.
+func (ear *early) SetWriteDeadline(deadline time.Time) error {
+	ear.cancel()
+	if out := ear.out.Load(); out != nil {
+		return http.NewResponseController(out.ResponseWriter).SetWriteDeadline(deadline)
 	}
-	return len(part), nil
+	return nil
 }
 
-// add adds to the body and reports whether there was room for it.
+// pass writes what is kept of an answer whose handler waits, at its turn, and lets the handler write the rest. It reports
+// whether the handler was still waiting.
+func (ear *early) pass(wri http.ResponseWriter) bool {
+	ear.mut.Lock()
+	if ear.state = requestAhead.Fire(ear, ear.state, turn); ear.state != passing {
+		ear.mut.Unlock()
+		return false
+	}
+	ear.out.Store(&output{wri})
+	ear.mut.Unlock()
+	ear.send(wri)
+	ear.mut.Lock()
+	defer ear.mut.Unlock()
+	ear.body = nil
+	ear.keepRoom(0)
+	close(ear.unblocked)
+	return true
+}
+
+// add adds to the body and reports whether there was room for it; once there was none, the rest waits.
 func (ear *early) add(part []byte) bool {
 	ear.mut.Lock()
 	defer ear.mut.Unlock()
+	select {
+	case <-ear.blocked:
+		return false
+	default:
+	}
 	missing := max(int64(len(ear.body)+len(part))+headerBytes-ear.taken, 0)
 	if !ear.room.Take(missing) {
 		return false
@@ -121,7 +188,7 @@
 	return true
 }
 
-// send writes the answer at its turn.
+// send writes what is kept of the answer at its turn.
 func (ear *early) send(wri http.ResponseWriter) {
 	header := wri.Header()
 	for name, values := range ear.header {
--- a/io/pipeline/pipeline.go
+++ b/io/pipeline/pipeline.go
@@ -28,8 +28,8 @@
 	// OnCancel, if set, is called with the number of requests run ahead whose answers will not be sent, and the cause.
 	OnCancel func(requests int, cause string)
 
-	next                      http.Handler
-	started, cancelled, rerun atomic.Int64
+	next                       http.Handler
+	started, cancelled, waited atomic.Int64
 
 	mut     sync.Mutex
 	stopped atomic.Bool
@@ -44,9 +44,9 @@
 // Cancelled returns the number of requests that were run ahead and whose answers were not sent.
 func (pip *Pipeline) Cancelled() int64 { return pip.cancelled.Load() }
 
-// RunAgain returns the number of requests that were run ahead and run again at their turn, because there was no room for
-// their answers.
-func (pip *Pipeline) RunAgain() int64 { return pip.rerun.Load() }
+// Waited returns the number of requests that were run ahead and whose handlers had to write the rest of their answers at
+// their turn, because there was no room for it.
+func (pip *Pipeline) Waited() int64 { return pip.waited.Load() }
 
 // Handler returns a handler that answers requests with the answers of requests run ahead, and passes all others to the
 // next one. It must be called once, before the first connection.
@@ -94,23 +94,31 @@
 		pip.next.ServeHTTP(wri, req)
 		return
 	}
+	passed := false
+	select {
+	case <-ear.ended:
+	case <-ear.blocked:
+		con.pause()
+		pip.waited.Add(1)
+		passed = ear.pass(wri)
+	case <-req.Context().Done():
+	}
 	select {
 	case <-ear.ended:
 	case <-req.Context().Done():
 		ear.cancel()
 		<-ear.ended
 	}
-	defer ear.fire(turn)
 	switch {
 	case ear.panicked != nil:
+		ear.fire(turn)
 		panic(ear.panicked)
-	case !ear.dropped:
+	case ear.isCut():
+		panic(http.ErrAbortHandler)
+	case !passed:
 		ear.send(wri)
-		return
+		ear.fire(turn)
 	}
-	pip.rerun.Add(1)
-	con.pause()
-	pip.next.ServeHTTP(wri, req)
 }
 
 // ReadAt returns when the request of a context was read, if it was read while it waited for its turn, and otherwise the
@@ -144,6 +152,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	ear := &early{
 		req: req.WithContext(ctx), cancel: cancel, ended: make(chan struct{}), header: http.Header{},
+		blocked: make(chan struct{}), unblocked: make(chan struct{}),
 		state: requestAhead.Initial(), room: pip.Room, taken: answerBytes,
 	}
 	go pip.run(ear)
--- a/io/pipeline/random_test.go
+++ b/io/pipeline/random_test.go
@@ -63,7 +63,7 @@
 	}
 	clients.Wait()
 	require.Equal(t, randomRounds*randomRequests, ser.count("end"))
-	require.Zero(t, ser.pip.RunAgain())
+	require.Zero(t, ser.pip.Waited())
 	require.Greater(t, ser.pip.Started(), int64(randomRounds*randomRequests/4))
 	require.Zero(t, ser.pip.Cancelled(), "none was forwarded for nothing")
 }
--- a/io/pipeline/room_test.go
+++ b/io/pipeline/room_test.go
@@ -21,8 +21,9 @@
 	"flamingoreach/io/room"
 )
 
-// Guards against answers that wait for their turn without a bound on their memory, and against one that is lost for it.
-func TestAnAnswerWithoutRoomRunsAgainAtItsTurn(t *testing.T) {
+// Guards against answers that wait for their turn without a bound on their memory, and against one that is lost for it or
+// whose request runs again.
+func TestAnAnswerWithoutRoomWaitsForItsTurn(t *testing.T) {
 	long := strings.Repeat("x", 2*roomBytes)
 	ser := serve(t, func(wri http.ResponseWriter, req *http.Request) {
 		if req.URL.RawQuery == "2" {
@@ -33,7 +34,21 @@
 	receiveNumbers(t, reader, 1, 1)
 	require.Equal(t, long+"2", receive(t, reader).text)
 	receiveNumbers(t, reader, 3, 4)
-	require.Equal(t, int64(1), ser.pip.RunAgain())
+	require.Equal(t, int64(1), ser.pip.Waited())
+	require.Equal(t, 4, ser.count("begin"), "each request runs once")
+}
+
+// Guards against an answer that looks complete although its handler gave up the wait for its turn.
+func TestAnAnswerThatIsGivenUpEndsItsConnection(t *testing.T) {
+	ser := serve(t, func(wri http.ResponseWriter, req *http.Request) {
+		if req.URL.RawQuery == "2" {
+			_ = http.NewResponseController(wri).SetWriteDeadline(time.Unix(1, 0))
+			_, _ = io.WriteString(wri, strings.Repeat("x", 2*roomBytes))
+		}
+	})
+	_, reader := connect(t, ser, get(100*time.Millisecond, 1)+get(0, 2)+get(0, 3))
+	receiveNumbers(t, reader, 1, 1)
+	requireEnd(t, reader)
 }
 
 // Guards against requests that start although the room for their answers is taken.
