End idle connections for new ones

Connections that clients leave idle kept a node from taking new ones: each listener took 2,048, whatever the descriptors of the machine, and kept idle ones for a minute although idleTimeoutMs of the configuration was 15 s. Further clients waited in the backlog.

The listeners now have parts of maxFds, and the rest is for the node's own connections. A listener without a place ends the connections that were idle longest, with the farewell that tells a request which crosses it that it has not run, and without idle ones those of which nothing was read for 5 s. Callers' connections are idle for no longer than idleTimeoutMs.

--- a/core/configuration/configuration.go
+++ b/core/configuration/configuration.go
@@ -33,6 +33,8 @@
 	// CutHold is the time without contact to the store's region after which a data centre refuses keyed calls, so that
 	// other data centres may take over its allocations and accept patches without it; 0 means no limit.
 	CutHold time.Duration
+	// IdleTime is how long a caller's connection may be idle; 0 means that the configuration does not limit it.
+	IdleTime time.Duration
 	// Off lists the mechanisms that are switched off.
 	Off []mechanism.Mechanism
 }
--- a/io/hostnode/node.go
+++ b/io/hostnode/node.go
@@ -105,6 +105,8 @@
 	evacuatedAnswerAt atomic.Int64
 
 	servedLog, refusedLog, gateLog, evacuationLog *decisionlog.Log
+	// connectionsEvicted counts the connections that ended for new ones.
+	connectionsEvicted atomic.Int64
 
 	control     *control.Thread
 	dispatcher  *dispatcher.Dispatcher
--- a/io/hostnode/run.go
+++ b/io/hostnode/run.go
@@ -12,6 +12,7 @@
 
 	"flamingoreach/core/membership/change"
 	"flamingoreach/core/stopwindow"
+	"flamingoreach/io/decisionlog"
 	"flamingoreach/io/dispatcher"
 	"flamingoreach/io/httplistener"
 )
@@ -31,9 +32,15 @@
 	// headerTime and idleTime are not shorter than the times that the operators allow callers.
 	headerTime = 3 * time.Second
 	idleTime   = time.Minute
-	// maxConnections bounds the open connections of each listener; further ones wait in the backlog. It leaves file
-	// descriptors for the connections to other nodes and to the backend server.
-	maxConnections = 2048
+	// maxConnections bounds the open connections of each listener, as does its part of the process's descriptors. The rest of
+	// these is for connections to other nodes, to the backend server and to the store.
+	maxConnections   = 2048
+	callersNumerator = 10
+	peersNumerator   = 12
+	othersNumerator  = 1
+	partsDenominator = 32
+	// evictionLinesPerSecond is the most log lines per second about connections that end for new ones.
+	evictionLinesPerSecond = 2
 )
 
 // Handlers are the platform's handlers of callers' requests, of the backend server's announcements and of readiness
@@ -77,21 +84,30 @@
 }
 
 func (nod *Node) listen(ctx context.Context, han Handlers) error {
-	bounds := httplistener.Bounds{HeaderBytes: headerBytes, HeaderTime: headerTime, IdleTime: idleTime, Connections: maxConnections}
+	lines := decisionlog.New(nod.log, evictionLinesPerSecond)
+	nod.metrics.Gauge("connections_evicted", func() float64 { return float64(nod.connectionsEvicted.Load()) })
 	for _, bind := range []struct {
 		name    string
 		address netip.AddrPort
 		handler http.Handler
+		part    int
 	}{
-		{"callers", nod.settings.Callers, han.Callers},
-		{"announcements", nod.settings.Announcements, han.Announcements},
-		{"ready", nod.settings.Ready, han.Ready},
-		{"peers", nod.settings.Peers, nod.peerServer.Handler()},
-		{"metrics", nod.settings.Metrics, nod.metrics},
+		{"callers", nod.settings.Callers, han.Callers, callersNumerator},
+		{"announcements", nod.settings.Announcements, han.Announcements, othersNumerator},
+		{"ready", nod.settings.Ready, han.Ready, othersNumerator},
+		{"peers", nod.settings.Peers, nod.peerServer.Handler(), peersNumerator},
+		{"metrics", nod.settings.Metrics, nod.metrics, othersNumerator},
 	} {
-		limits := bounds
+		limits := httplistener.Bounds{
+			HeaderBytes: headerBytes, HeaderTime: headerTime, IdleTime: idleTime, Connections: nod.connectionBound(bind.part),
+			OnEvict: func(why string, connections int) {
+				nod.connectionsEvicted.Add(1)
+				lines.Write("connection ends for a new one", "limit", bind.name, "connections", connections, "why", why)
+			},
+		}
 		if bind.name == "callers" {
 			limits.Pipeline = nod.newPipeline(han.MayRunAhead)
+			limits.IdleLimit = nod.callerIdleTime
 		}
 		lis, err := httplistener.Listen(ctx, bind.address, bind.handler, limits)
 		if err != nil {
@@ -105,6 +121,22 @@
 	return nil
 }
 
+// connectionBound returns the bound on the connections of a listener with a part of the process's descriptors.
+func (nod *Node) connectionBound(numerator int) int {
+	if nod.settings.Descriptors == 0 {
+		return maxConnections
+	}
+	return max(min(nod.settings.Descriptors*numerator/partsDenominator, maxConnections), 1)
+}
+
+// callerIdleTime returns how long a caller's connection may be idle.
+func (nod *Node) callerIdleTime() time.Duration {
+	if cfg := nod.view.Load().Configuration; cfg != nil && cfg.IdleTime > 0 {
+		return cfg.IdleTime
+	}
+	return idleTime
+}
+
 // drain announces to callers and other nodes that this node leaves, keeps serving for leaveNotice, and then lets the
 // calls at its gate end as long as the stop time allows. At last it waits until the other nodes were sent the update
 // that this node has left, or until the deadline of the drain. Requests that began on this host end while the listeners
--- a/io/hostsettings/settings.go
+++ b/io/hostsettings/settings.go
@@ -29,6 +29,8 @@
 	Store netip.AddrPort
 	// MemoryBytes is the memory that the process may use.
 	MemoryBytes int64
+	// Descriptors is the number of sockets that the process may have open, or 0 if that is not known.
+	Descriptors int
 	// Cores is the process's share of the processor, in cores.
 	Cores float64
 	// LinkBytes is a rate: the capacity of the host's own link, in bytes per second. The settings do not state the
--- a/io/httplistener/connectionset.go
+++ b/io/httplistener/connectionset.go
@@ -1,19 +1,30 @@
 package httplistener
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
 	"flamingoreach/io/framing"
 )
 
-// closePollInterval is the interval at which Close checks the connections.
-const closePollInterval = 10 * time.Millisecond
+const (
+	// closePollInterval is the interval at which Close checks the connections.
+	closePollInterval = 10 * time.Millisecond
+	// placeInterval is the interval at which a listener without a place for a connection looks for one that must end.
+	placeInterval = 100 * time.Millisecond
+	// evictDivisor divides the bound on connections to get the number of those that end at a time.
+	evictDivisor = 16
+	// stalledTime is the time for which a client may read nothing before its connection can end for a new one.
+	stalledTime = 5 * time.Second
+)
 
 // connectionSet holds the open connections of one listener by their remote address.
 type connectionSet struct {
@@ -24,12 +35,79 @@
 	// farewell answers a request that crosses the end of its connection.
 	farewell []byte
 
+	// max bounds the open connections.
+	max int
+	// idleTime, if set, returns how long a connection may be idle, apart from the bound of net/http.
+	idleTime func() time.Duration
+	// onEvict, if set, is called with each connection that is closed for a new one.
+	onEvict func(why string, open int)
+
 	mut  sync.Mutex
 	open map[netip.AddrPort]*trackedConnection
+	// changed receives a value when a connection has ended, become idle or must not be waited for any more.
+	changed chan struct{}
 }
 
 func newConnectionSet() *connectionSet {
-	return &connectionSet{open: map[netip.AddrPort]*trackedConnection{}}
+	return &connectionSet{open: map[netip.AddrPort]*trackedConnection{}, max: math.MaxInt, changed: make(chan struct{}, 1)}
+}
+
+func (set *connectionSet) signal() {
+	select {
+	case set.changed <- struct{}{}:
+	default:
+	}
+}
+
+// awaitPlace returns when a further connection may be open or stop reports true. If there is no place, the connections that
+// were idle longest end, and without idle ones those whose clients have read nothing for longest.
+func (set *connectionSet) awaitPlace(stop func() bool) {
+	if set.len() < set.max {
+		return
+	}
+	ticker := time.NewTicker(placeInterval)
+	defer ticker.Stop()
+	for set.len() >= set.max && !stop() {
+		set.evict(time.Now())
+		select {
+		case <-set.changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+func (set *connectionSet) len() int {
+	set.mut.Lock()
+	defer set.mut.Unlock()
+	return len(set.open)
+}
+
+// evict ends up to a part of the connections, unless as many are ending.
+func (set *connectionSet) evict(now time.Time) {
+	left := set.max/evictDivisor + 1
+	var candidates []*trackedConnection
+	set.mut.Lock()
+	for _, tra := range set.open {
+		if tra.isEnding() {
+			left--
+		} else {
+			candidates = append(candidates, tra)
+		}
+	}
+	set.mut.Unlock()
+	evict := func(why string, lasted func(tra *trackedConnection) time.Duration, least time.Duration) {
+		chosen := slices.DeleteFunc(slices.Clone(candidates), func(tra *trackedConnection) bool { return lasted(tra) <= least })
+		slices.SortFunc(chosen, func(one, other *trackedConnection) int { return cmp.Compare(lasted(other), lasted(one)) })
+		for _, tra := range chosen[:min(max(left, 0), len(chosen))] {
+			left--
+			tra.evict()
+			if set.onEvict != nil {
+				set.onEvict(why, set.max)
+			}
+		}
+	}
+	evict("idle", func(tra *trackedConnection) time.Duration { return tra.idleFor(now) }, 0)
+	evict("stalled", func(tra *trackedConnection) time.Duration { return tra.stalledFor(now) }, stalledTime)
 }
 
 func (set *connectionSet) add(con *net.TCPConn) *trackedConnection {
@@ -46,6 +124,7 @@
 	if address := remoteAddress(tra.TCPConn); set.open[address] == tra {
 		delete(set.open, address)
 	}
+	set.signal()
 }
 
 // find returns the tracked connection inside another, or nil if it was removed.
@@ -67,6 +146,10 @@
 	}
 	tra.http2.Store(isHTTP2(con))
 	tra.state.Store(int32(state))
+	if state == http.StateIdle {
+		tra.idleSince.Store(time.Now().UnixNano())
+		set.signal()
+	}
 }
 
 // isHTTP2 reports whether a connection speaks HTTP/2.
--- a/io/httplistener/listener.go
+++ b/io/httplistener/listener.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/net/netutil"
 
 	"flamingoreach/io/bytecount"
 	"flamingoreach/io/framing"
@@ -43,10 +42,15 @@
 	HeaderTime  time.Duration
 	// ReadTime bounds the time to read a whole request; 0 sets no bound.
 	ReadTime time.Duration
-	// IdleTime bounds the time between two requests on a connection.
-	IdleTime time.Duration
-	// Connections bounds the connections that are served at the same time; further ones wait in the backlog.
+	// IdleTime bounds the time between two requests on a connection, and IdleLimit, if set, returns a lower bound that may
+	// change.
+	IdleTime  time.Duration
+	IdleLimit func() time.Duration
+	// Connections bounds the connections that are served at the same time. If there are more, idle ones end, then those whose
+	// clients do not read their answers; without any, further connections wait in the backlog.
 	Connections int
+	// OnEvict, if set, is called with each connection that ends for a new one: why it was that one, and the bound.
+	OnEvict func(why string, connections int)
 	// Farewell holds the fields of the answer to a request that crosses the end of its connection during Close; the status,
 	// 408, says that the request has not run.
 	Farewell http.Header
@@ -67,7 +71,9 @@
 	}
 	soc := newSocket(tcp)
 	soc.connections.farewell = farewell(bou.Farewell)
-	listener := netutil.LimitListener(soc, bou.Connections)
+	soc.connections.max, soc.connections.idleTime = bou.Connections, bou.IdleLimit
+	soc.connections.onEvict = bou.OnEvict
+	listener := net.Listener(soc)
 	address = listener.Addr().(*net.TCPAddr).AddrPort()
 	if bou.Counter != nil {
 		listener = bou.Counter.Listener(listener)
--- a/io/httplistener/socket.go
+++ b/io/httplistener/socket.go
@@ -45,6 +45,7 @@
 
 // Accept returns the next connection; during drain, it returns the connections of the backlog and then net.ErrClosed.
 func (soc *socket) Accept() (net.Conn, error) {
+	soc.connections.awaitPlace(soc.closing.Load)
 	con, err := soc.AcceptTCP()
 	if err == nil {
 		return soc.connections.add(con), nil
@@ -64,6 +65,7 @@
 	if soc.closing.Swap(true) {
 		return
 	}
+	soc.connections.signal()
 	// Interrupts a running Accept, which would accept the connection that fills the backlog.
 	_ = soc.SetDeadline(time.Unix(1, 0))
 	var descriptors []int
--- a/io/httplistener/trackedconnection.go
+++ b/io/httplistener/trackedconnection.go
@@ -33,6 +33,9 @@
 	// http2 is set on HTTP/2 connections, whose clients are notified of the shutdown by net/http.
 	http2  atomic.Bool
 	closed atomic.Bool
+	// idleSince is when the connection became idle, and writesSince when the write that is under way began, or 0. Both are in
+	// nanoseconds of Unix time.
+	idleSince, writesSince atomic.Int64
 	// outer is the connection that net/http uses, which knows of requests that were read but are still in buffers.
 	outer atomic.Pointer[net.Conn]
 
@@ -69,19 +72,61 @@
 	tra.mut.Lock()
 	tra.unanswered = false
 	tra.mut.Unlock()
+	tra.writesSince.Store(time.Now().UnixNano())
+	defer tra.writesSince.Store(0)
 	return tra.TCPConn.Write(data)
 }
 
-// SetReadDeadline does nothing once the connection ends, because the server would replace the end of the linger time.
+// SetReadDeadline does nothing once the connection ends, because the server would replace the end of the linger time. It
+// shortens the deadline of an idle connection to the set's idle time.
 func (tra *trackedConnection) SetReadDeadline(deadline time.Time) error {
 	tra.mut.Lock()
 	defer tra.mut.Unlock()
 	if tra.ending {
 		return nil
 	}
+	if tra.set.idleTime != nil && http.ConnState(tra.state.Load()) == http.StateIdle {
+		if earlier := time.Now().Add(tra.set.idleTime()); earlier.Before(deadline) {
+			deadline = earlier
+		}
+	}
 	return tra.TCPConn.SetReadDeadline(deadline)
 }
 
+// isEnding reports whether the client was told that the connection ends.
+func (tra *trackedConnection) isEnding() bool {
+	tra.mut.Lock()
+	defer tra.mut.Unlock()
+	return tra.ending
+}
+
+// idleFor returns how long the connection has been idle, or 0.
+func (tra *trackedConnection) idleFor(now time.Time) time.Duration {
+	if http.ConnState(tra.state.Load()) != http.StateIdle || tra.http2.Load() {
+		return 0
+	}
+	return now.Sub(time.Unix(0, tra.idleSince.Load()))
+}
+
+// stalledFor returns for how long the client has read nothing of an answer, or 0.
+func (tra *trackedConnection) stalledFor(now time.Time) time.Duration {
+	since := tra.writesSince.Load()
+	if since == 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, since))
+}
+
+// evict ends the connection: with a farewell if it is idle, and else at once.
+func (tra *trackedConnection) evict() {
+	if tra.idleFor(time.Now()) > 0 && !tra.set.secure {
+		tra.end()
+		return
+	}
+	_ = tra.SetLinger(0)
+	_ = tra.Close()
+}
+
 // end tells the client of a connection without an unanswered request that the connection ends. The server's read then
 // lasts until the client has closed, or for lingerTime, and the server closes the connection.
 func (tra *trackedConnection) end() {
--- a/proofs/clients/clients_test.go
+++ b/proofs/clients/clients_test.go
@@ -14,6 +14,8 @@
 
 const (
 	receiveBufferBytes = 32 << 10
+	longAnswerBytes    = 4 << 20
+	longAnswerPath     = "/quotes/?bytes=4194304"
 	// crowdTime is how long a crowd goes on before the ordinary requests, beside which it stays connected.
 	crowdTime = 8 * time.Second
 	// A slow client sends or reads a part of slowBytes in each slowInterval.
@@ -96,6 +98,35 @@
 	fle.requireContained()
 }
 
+func TestConnectionsStayIdle(t *testing.T) {
+	fle := startFleet(t, limits{memoryMB: small.memoryMB, descriptors: 600})
+	fle.crowd(1400, func(_ context.Context, cli *client) error {
+		if _, err := io.WriteString(cli, head(http.MethodGet, "/quotes/?bytes=10", 0)); err != nil {
+			return err
+		}
+		received, err := cli.receive()
+		if err == nil && received != 10 {
+			return errWrongBytes
+		}
+		return err
+	})
+	fle.requireContained()
+}
+
+func TestConnectionsSendAByteASecond(t *testing.T) {
+	fle := startFleet(t, limits{memoryMB: small.memoryMB, descriptors: 600})
+	fle.crowd(1400, func(ctx context.Context, cli *client) error {
+		for _, letter := range head(http.MethodGet, "/quotes/?bytes=10", 0) {
+			if _, err := io.WriteString(cli, string(letter)); err != nil || ctx.Err() != nil {
+				return err
+			}
+			wait(ctx, time.Second)
+		}
+		return nil
+	})
+	fle.requireContained()
+}
+
 func TestConnectionsOpenAndClose(t *testing.T) {
 	fle := startFleet(t, small)
 	fle.crowd(50, func(ctx context.Context, cli *client) error {
