Let callers pause within an answer

A caller that read a part of an answer and then nothing for 3 s had its connection reset: TCP_USER_TIMEOUT also counts the time for which the receive window is closed.

The callers' listener does without that timeout. A write that waits looks every second whether the client acknowledges data and probes of its window, so that one that is gone is noticed after the same 2 s while it is written to, and after the three probes of the kernel's first two seconds if its window is closed.

TestAClientThatPausesGetsTheRest failed before with a reset connection. A client that disappears from the network is not tested, as loopback cannot show it.

--- a/io/hostnode/run.go
+++ b/io/hostnode/run.go
@@ -107,7 +107,7 @@
 		}
 		if bind.name == "callers" {
 			limits.Pipeline = nod.newPipeline(han.MayRunAhead)
-			limits.IdleLimit = nod.callerIdleTime
+			limits.IdleLimit, limits.Patient = nod.callerIdleTime, true
 		}
 		lis, err := httplistener.Listen(ctx, bind.address, bind.handler, limits)
 		if err != nil {
--- a/io/httplistener/connectionset.go
+++ b/io/httplistener/connectionset.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"flamingoreach/io/framing"
+	"flamingoreach/io/tcpoptions"
 )
 
 const (
@@ -39,6 +40,8 @@
 	max int
 	// idleTime, if set, returns how long a connection may be idle, apart from the bound of net/http.
 	idleTime func() time.Duration
+	// patient lets clients keep their receive windows closed.
+	patient bool
 	// onEvict, if set, is called with each connection that is closed for a new one.
 	onEvict func(why string, open int)
 
@@ -112,6 +115,10 @@
 
 func (set *connectionSet) add(con *net.TCPConn) *trackedConnection {
 	tra := &trackedConnection{TCPConn: con, set: set, opened: time.Now()}
+	if set.patient {
+		// Without it, a client that pauses loses its connection as before.
+		_ = tcpoptions.AllowClosedWindow(con)
+	}
 	set.mut.Lock()
 	defer set.mut.Unlock()
 	set.open[remoteAddress(con)] = tra
--- a/io/httplistener/evict_test.go
+++ b/io/httplistener/evict_test.go
@@ -85,3 +85,20 @@
 	_, err := reader.ReadByte()
 	require.ErrorIs(t, err, io.EOF)
 }
+
+// Guards against clients that keep a listener from taking new connections because they do not read their answers, and
+// against one that loses its answer because it pauses.
+func TestAPatientListenerWaitsForReadersUntilThePlaceIsNeeded(t *testing.T) {
+	const long = 32 << 20
+	address := listen(t, long, httplistener.Bounds{Connections: 1, Patient: true})
+	reader := ask(t, address)
+	_, err := reader.Peek(1)
+	require.NoError(t, err)
+	time.Sleep(3 * time.Second)
+	require.Equal(t, long, receiveAnswer(t, reader), "a client that pauses gets the rest")
+	reader = ask(t, address)
+	_, err = reader.Peek(1)
+	require.NoError(t, err)
+	next := ask(t, address)
+	require.Equal(t, long, receiveAnswer(t, next), "a client that reads nothing gives way")
+}
--- a/io/httplistener/listener.go
+++ b/io/httplistener/listener.go
@@ -49,6 +49,8 @@
 	// Connections bounds the connections that are served at the same time. If there are more, idle ones end, then those whose
 	// clients do not read their answers; without any, further connections wait in the backlog.
 	Connections int
+	// Patient lets clients that still respond stop reading an answer for any time.
+	Patient bool
 	// OnEvict, if set, is called with each connection that ends for a new one: why it was that one, and the bound.
 	OnEvict func(why string, connections int)
 	// Farewell holds the fields of the answer to a request that crosses the end of its connection during Close; the status,
@@ -72,7 +74,7 @@
 	soc := newSocket(tcp)
 	soc.connections.farewell = farewell(bou.Farewell)
 	soc.connections.max, soc.connections.idleTime = bou.Connections, bou.IdleLimit
-	soc.connections.onEvict = bou.OnEvict
+	soc.connections.patient, soc.connections.onEvict = bou.Patient, bou.OnEvict
 	listener := net.Listener(soc)
 	address = listener.Addr().(*net.TCPAddr).AddrPort()
 	if bou.Counter != nil {
--- a/io/httplistener/trackedconnection.go
+++ b/io/httplistener/trackedconnection.go
@@ -1,9 +1,11 @@
 package httplistener
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +20,8 @@
 	// lingerTime is how long a connection that was told to end is read, so that a request that crosses the end does not
 	// make the kernel reset the connection before its client has read the answer.
 	lingerTime = 200 * time.Millisecond
+	// livenessInterval is the interval at which a write that waits for the client checks that the client is still there.
+	livenessInterval = time.Second
 )
 
 // trackedConnection is an accepted connection that records whether a request on it is still unanswered. The shutdown of
@@ -33,8 +37,8 @@
 	// http2 is set on HTTP/2 connections, whose clients are notified of the shutdown by net/http.
 	http2  atomic.Bool
 	closed atomic.Bool
-	// idleSince is when the connection became idle, and writesSince when the write that is under way began, or 0. Both are in
-	// nanoseconds of Unix time.
+	// idleSince is when the connection became idle, and writesSince when the client last read of the answer that is being
+	// written, or 0. Both are in nanoseconds of Unix time.
 	idleSince, writesSince atomic.Int64
 	// outer is the connection that net/http uses, which knows of requests that were read but are still in buffers.
 	outer atomic.Pointer[net.Conn]
@@ -44,6 +48,8 @@
 	unanswered bool
 	// ending is set once the farewell was sent.
 	ending bool
+	// writeDeadline is the deadline that the server has set.
+	writeDeadline time.Time
 }
 
 // Read records that a request has begun. Once the connection ends, it discards what arrives.
@@ -72,9 +78,63 @@
 	tra.mut.Lock()
 	tra.unanswered = false
 	tra.mut.Unlock()
+	if !tra.set.patient {
+		return tra.TCPConn.Write(data)
+	}
+	return tra.writePatiently(data)
+}
+
+// writePatiently writes for as long as the client responds, whether or not it reads.
+func (tra *trackedConnection) writePatiently(data []byte) (written int, err error) {
 	tra.writesSince.Store(time.Now().UnixNano())
-	defer tra.writesSince.Store(0)
-	return tra.TCPConn.Write(data)
+	defer tra.endWrite()
+	for {
+		if err := tra.beginWrite(); err != nil {
+			return written, err
+		}
+		count, err := tra.TCPConn.Write(data[written:])
+		written += count
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return written, err
+		}
+		if count > 0 {
+			tra.writesSince.Store(time.Now().UnixNano())
+		}
+		if responds, infoErr := tcpoptions.Responds(tra.TCPConn); infoErr != nil || !responds {
+			return written, err
+		}
+	}
+}
+
+// beginWrite bounds the next part of a write; it fails if the server's own deadline has passed.
+func (tra *trackedConnection) beginWrite() error {
+	tra.mut.Lock()
+	defer tra.mut.Unlock()
+	now := time.Now()
+	next := now.Add(livenessInterval)
+	if until := tra.writeDeadline; !until.IsZero() && until.Before(next) {
+		if !now.Before(until) {
+			return os.ErrDeadlineExceeded
+		}
+		next = until
+	}
+	return tra.TCPConn.SetWriteDeadline(next)
+}
+
+// endWrite sets the server's own deadline again.
+func (tra *trackedConnection) endWrite() {
+	tra.mut.Lock()
+	defer tra.mut.Unlock()
+	tra.writesSince.Store(0)
+	_ = tra.TCPConn.SetWriteDeadline(tra.writeDeadline)
+}
+
+// SetWriteDeadline sets the deadline of all writes.
+func (tra *trackedConnection) SetWriteDeadline(deadline time.Time) error {
+	tra.mut.Lock()
+	defer tra.mut.Unlock()
+	tra.writeDeadline = deadline
+	return tra.TCPConn.SetWriteDeadline(deadline)
 }
 
 // SetReadDeadline does nothing once the connection ends, because the server would replace the end of the linger time. It
--- a/proofs/clients/clients_test.go
+++ b/proofs/clients/clients_test.go
@@ -170,3 +170,22 @@
 	}
 	return wri.Writer.Write(part)
 }
+
+// Guards against a timeout for unacknowledged data that counts the time in which the client's receive window is closed.
+func TestAClientThatPausesGetsTheRest(t *testing.T) {
+	fle := startFleet(t, smallest)
+	for _, hos := range fle.hosts {
+		cli, err := dial(t.Context(), hos)
+		require.NoError(t, err)
+		defer func() { _ = cli.Close() }()
+		_, err = io.WriteString(cli, head(http.MethodGet, longAnswerPath, 0))
+		require.NoError(t, err)
+		_, err = cli.reader.Peek(1)
+		require.NoError(t, err)
+		time.Sleep(3 * time.Second)
+		received, err := cli.receive()
+		require.NoError(t, err)
+		require.Equal(t, int64(longAnswerBytes), received)
+	}
+	fle.requireContained()
+}
