Account for all memory that is held for clients

Clients that read long answers slowly or not at all, and uploads within maxBodyBytes, took nodes over the memory of their machines, which ends them. io/room counted bodies while they were read, in four separate bounds: not an answer while it was written, and a body longer than the room was let in. Each body was held and encoded up to four times on its way through two nodes. In calm, an answer of 24 MiB got 502 after its request had run, and an upload of 64 MiB could not be sent to another node.

One room of three eighths of the process's memory now accounts for request bodies, calls of other nodes and answers until their last byte is written. Who holds most for the least progress of its client gives way to those that wait: a body is refused as not run, a connection ends within its answer. Long bodies go between nodes behind a head instead of inside it, and are passed on as they arrive. io/spool holds an answer at the caller's node as far as there is room; beyond that, the gate's node and the backend server have to wait. A gate's slot is held until the answer has left the backend server, or the deadline of the call. docs/design/clients.md weighs the ways.

A body that is longer than the room is no longer let in, which a test of io/room asserted; it now asserts that it is not.

--- a/cmd/flamingoreach-host/command/command.go
+++ b/cmd/flamingoreach-host/command/command.go
@@ -18,7 +18,6 @@
 	"flamingoreach/io/hostsettings"
 	"flamingoreach/io/hostsettings/watch"
 	"flamingoreach/io/http1"
-	"flamingoreach/io/room"
 	"flamingoreach/platform"
 )
 
@@ -33,11 +32,6 @@
 	maxWaitingLines = 1024
 	// bodyBytes bounds the body of a request or an answer: the largest size that the operators allow callers to send.
 	bodyBytes = 64 << 20
-	// roomDivisor divides the memory of the process to get the bound of all long answers of the backend server together.
-	roomDivisor = 8
-	// bodiesDivisor divides it to get the bound of the long bodies of all callers' requests together. Each is held once more
-	// while it is sent to another node.
-	bodiesDivisor = 6
 	// bodyTime bounds the time for reading the body of a request that states no timeout.
 	bodyTime = 30 * time.Second
 	// backendDialTimeout is ample for connecting to a live process on the same host.
@@ -124,8 +118,6 @@
 	}
 	store.OnSkippedRow = func(key string, err error) { logger.Warn("evacuation ignored", "key", key, "error", err) }
 	pool := http1.NewPool(backendDialTimeout)
-	pool.Room = room.New(set.MemoryBytes / roomDivisor)
-	bodies := room.New(set.MemoryBytes / bodiesDivisor)
 	backend := &platform.BackendServer{
 		Pool: pool, BodyBytes: bodyBytes, HealthPath: func() string { return store.HealthPath(set.Service) },
 	}
@@ -137,17 +129,17 @@
 		RaiseStoreEra: store.RaiseEra,
 		Execute:       backend.Execute, Sweep: pool.Sweep, CloseIdle: pool.CloseIdle,
 	}, logger)
+	pool.Room = nod.Room()
 	backend.OnRefused = nod.HandleRefusedConnection
 	store.OnEra, store.OnLateAnswer = nod.ReceiveStoreEra, nod.ReceiveLateAnswer
-	nod.Metrics().Gauge("request_body_bytes", func() float64 { return float64(bodies.Used()) })
 	nod.Metrics().Gauge("log_lines_dropped", func() float64 { return float64(lines.Dropped()) })
 	nod.Reload(set)
 	watching, stopWatching := context.WithCancel(ctx)
 	watched := make(chan error, 1)
 	go func() { watched <- watch.File(watching, file, reloads, func() { reload(nod, file, logger) }) }()
 	callers := &platform.FrontEnd{
-		CallerService: set.Service, BodyBytes: bodyBytes, BodyTime: bodyTime, Bodies: bodies, Serve: nod.Serve, OnRefusal: nod.RecordRefusal,
-		IsIdempotent: nod.IsIdempotent,
+		CallerService: set.Service, BodyBytes: min(bodyBytes, nod.Room().Max()), BodyTime: bodyTime, Bodies: nod.Room(), Serve: nod.Serve,
+		OnRefusal: nod.RecordRefusal, OnCut: nod.RecordCut, IsIdempotent: nod.IsIdempotent,
 	}
 	err := nod.Run(ctx, hostnode.Handlers{
 		Callers:     callers,
--- a/core/gate/run.go
+++ b/core/gate/run.go
@@ -351,11 +351,24 @@
 	if gat.policy.On(gatepolicy.AdmissionLevel) && gat.queue.UsesUpGuaranteedPlaces(cal.Account) {
 		ans.AdmissionLevel = gat.admissionLevel.Value()
 	}
-	ans.Load = float64(gat.slotsInUse+gat.queue.Len()) / float64(gat.limit())
+	ans.Load = gat.load()
+	return ans
+}
+
+// Load returns the calls that run or wait, relative to the slots.
+func (gat *Gate) Load() float64 {
+	gat.mut.Lock()
+	defer gat.mut.Unlock()
+	return gat.load()
+}
+
+// load is Load for a caller that holds the mutex.
+func (gat *Gate) load() float64 {
+	load := float64(gat.slotsInUse+gat.queue.Len()) / float64(gat.limit())
 	if gat.pace != nil && gat.paced(time.Now()) {
-		ans.Load = max(ans.Load, 1)
+		load = max(load, 1)
 	}
-	return ans
+	return load
 }
 
 // overloaded returns a refusal of a call that did not run and that may be accepted elsewhere, or here later.
--- a/io/hostnode/calls.go
+++ b/io/hostnode/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"github.com/google/uuid"
@@ -81,6 +82,9 @@
 	}
 	nod.gate.PayloadSize = func(payload any) int {
 		msg, _ := payload.(message.Message)
+		if msg.Delivered {
+			return 0
+		}
 		return msg.Size()
 	}
 	nod.peerServer.RunCall = nod.runAtGate
@@ -163,15 +167,25 @@
 	cal.CallerDataCentre = nod.settings.DataCentre
 	if mem.ID == nod.id {
 		ans, reply := nod.runAtGate(ctx, cal, msg)
-		return ans, reply, nil
+		return endAttempts(ans, reply), reply, nil
 	}
 	ans, reply, err := nod.peerClient.Run(ctx, mem.Peer, cal, nod.version(), msg)
+	ans = endAttempts(ans, reply)
 	if mem.Region != nod.self.Region {
 		nod.linkBudget.RecordSize(msg.Size() + reply.Size())
 	}
 	return ans, reply, err
 }
 
+// endAttempts returns the answer to an attempt without its refusal if the caller has got the head of a long answer. There must
+// be no further attempt then; the caller learns by the end of its connection that the answer is cut.
+func endAttempts(ans answer.Answer, reply message.Message) answer.Answer {
+	if reply.Delivered {
+		ans.Refusal = nil
+	}
+	return ans
+}
+
 // runAtGate asks the local gate to run a call on the backend server.
 func (nod *Node) runAtGate(ctx context.Context, cal call.Call, msg message.Message) (answer.Answer, message.Message) {
 	if cal.Service != nod.settings.Service {
@@ -186,6 +200,13 @@
 		return ans, message.Message{}
 	}
 	nod.recordLateCall(cal)
+	delivers := false
+	if deliver := msg.Deliver; deliver != nil {
+		msg.Deliver = func(ctx context.Context, ans answer.Answer, reply message.Message, body io.Reader) error {
+			delivers, ans.Load = true, nod.gate.Load()
+			return deliver(ctx, ans, reply, body)
+		}
+	}
 	ans, payload := nod.gate.Run(ctx, cal, func(ctx context.Context) (answer.Answer, any) {
 		ann := nod.backend.Load()
 		if ann == nil {
@@ -202,6 +223,13 @@
 	}
 	nod.crashLink.AwaitSpread(ctx, ans.Refusal)
 	reply, _ := payload.(message.Message)
+	if reply.Delivered && !delivers {
+		// The answer went to the first delivery of the call.
+		ref := refusal.Unknown(reason.RepeatUnresolved, "find answer")
+		ref.Outcome = outcome.Ran
+		ans.Refusal = ref
+		return ans, message.Message{}
+	}
 	return ans, reply
 }
 
--- a/io/hostnode/node.go
+++ b/io/hostnode/node.go
@@ -49,9 +49,11 @@
 	taskLimit = 64
 	// askTimeout bounds one request to another node; it spans several round trips between regions.
 	askTimeout = time.Second
-	// peerRoomDivisor divides the memory of the process to get the bound of all long answers of other nodes together, and
-	// that of all long calls from them.
-	peerRoomDivisor = 8
+	// controlRoomDivisor divides the memory of the process to get the bound of all long control messages together.
+	controlRoomDivisor = 8
+	// roomNumerator/roomDivisor is the fraction of the process's memory for all that is held for clients. It is below
+	// memoryFraction, so that the collection of garbage keeps up, and on the smallest machine above the longest body.
+	roomNumerator, roomDivisor = 3, 8
 	// storeTimeout bounds one request to the store, which normally answers within milliseconds.
 	storeTimeout = 2 * time.Second
 )
@@ -104,7 +106,9 @@
 	// evacuations, in nanoseconds of Unix time.
 	evacuatedAnswerAt atomic.Int64
 
-	servedLog, refusedLog, gateLog, evacuationLog *decisionlog.Log
+	servedLog, refusedLog, gateLog, evacuationLog, cutLog *decisionlog.Log
+	// answersCut counts the answers that began and were not written whole.
+	answersCut atomic.Int64
 	// connectionsEvicted counts the connections that ended for new ones.
 	connectionsEvicted atomic.Int64
 
@@ -123,6 +127,8 @@
 	metrics     *metricset.MetricSet
 	gcPacer     *gcpacer.Pacer
 
+	// room accounts for what is held for clients.
+	room       *room.Room
 	peerClient *peer.Client
 	peerServer *peer.Server
 	listeners  listeners
@@ -180,7 +186,7 @@
 		linkBudget:    linkbudget.New(float64(set.LinkBytes)),
 		metrics:       metricset.New(),
 		gcPacer:       gcpacer.New(set.Cores),
-		peerClient:    peer.NewPooledClient(room.New(set.MemoryBytes / peerRoomDivisor)),
+		peerClient:    peer.NewPooledClient(room.New(set.MemoryBytes / controlRoomDivisor)),
 		peerServer:    peer.NewServer(),
 		localServer:   localserver.New(),
 		feed:          configurationfeed.New(),
@@ -209,7 +215,7 @@
 	ignoreLeader := func(string, leader.Leader) {}
 	nod.peerClient.Leader, nod.peerClient.OnLeader = noLeader, ignoreLeader
 	nod.peerServer.Leader, nod.peerServer.OnLeader = noLeader, ignoreLeader
-	nod.peerServer.Bodies = room.New(set.MemoryBytes / peerRoomDivisor)
+	nod.setUpRoom()
 	nod.setUpCalls()
 	nod.setUpServer()
 	nod.setUpMembers()
--- a/io/hostnode/pipelining.go
+++ b/io/hostnode/pipelining.go
@@ -5,7 +5,6 @@
 
 	"flamingoreach/io/decisionlog"
 	"flamingoreach/io/pipeline"
-	"flamingoreach/io/room"
 )
 
 const (
@@ -21,7 +20,7 @@
 	if mayRunAhead == nil {
 		return nil
 	}
-	answers := room.New(nod.settings.MemoryBytes / pipelineRoomDivisor)
+	answers := nod.room.Part(nod.settings.MemoryBytes / pipelineRoomDivisor)
 	lines := decisionlog.New(nod.log, pipelineLinesPerSecond)
 	pip := &pipeline.Pipeline{
 		MayRunAhead: mayRunAhead, Room: answers,
--- a/io/http1/body.go
+++ b/io/http1/body.go
@@ -38,6 +38,41 @@
 	return body, err
 }
 
+// readBeginning reads a body of at most the given number of bytes, or returns a reader of a longer one. The longest part that
+// it holds of one of unknown length is as long.
+func readBeginning(res *http.Response, bytesRead int64) (whole []byte, long io.Reader, err error) {
+	if res.ContentLength > bytesRead {
+		return nil, res.Body, nil
+	}
+	if res.ContentLength >= 0 {
+		whole, err = readSized(res.Body, res.ContentLength, nil)
+		return whole, nil, err
+	}
+	whole, err = io.ReadAll(io.LimitReader(res.Body, bytesRead+1))
+	if err != nil || int64(len(whole)) <= bytesRead {
+		return whole, nil, err
+	}
+	return nil, io.MultiReader(bytes.NewReader(whole), res.Body), nil
+}
+
+// unframedBody is a body that only the end of the connection ends. If that is a reset, the kernel may report it to the
+// goroutine that sends the request, and the body seems complete.
+type unframedBody struct {
+	io.Reader
+	sen *sending
+}
+
+// Read fails at the end of the body if the request could not be sent.
+func (unf *unframedBody) Read(into []byte) (int, error) {
+	count, err := unf.Reader.Read(into)
+	if errors.Is(err, io.EOF) {
+		if <-unf.sen.ended; unf.sen.err != nil {
+			err = errRequestReset
+		}
+	}
+	return count, err
+}
+
 // readSized reads a body of the stated length; it fails if there is no room for a long one.
 func readSized(body io.Reader, length int64, roo *room.Room) ([]byte, error) {
 	if length > roomStepBytes {
--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -105,26 +105,41 @@
 func (con *connection) exchange(ctx context.Context, req *http.Request, rul Rules) (res Response, reusable bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = con.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	written, err := con.send(req)
-	if err != nil && written == nil {
-		return Response{}, false, &Failure{Stage: Waiting, Cause: err}
+	sen := con.send(req)
+	if sen.synchronous && sen.err != nil {
+		return Response{}, false, &Failure{Stage: Waiting, Cause: sen.err}
 	}
-	rec, err := con.receive(req, rul)
+	rec, err := con.receive(req, rul, sen)
 	con.used = true
 	if err != nil {
-		return Response{}, false, err
-	}
-	if written != nil {
-		if err := <-written; err != nil && rec.unframed {
-			// The kernel reports a reset once, here to the write. The read then ends as if the answer were complete.
-			return Response{}, false, &Failure{Stage: Reading, Cause: errRequestReset}
-		} else if err != nil {
-			rec.keepAlive = false
-		}
+		con.abort(sen)
+		return rec.Response, false, err
+	}
+	if rec.unframed || rec.keepAlive {
+		<-sen.ended
+	} else {
+		con.abort(sen)
+	}
+	if sen.err != nil && rec.unframed {
+		// The kernel reports a reset once, here to the write. The read then ends as if the answer were complete.
+		return Response{}, false, &Failure{Stage: Reading, Cause: errRequestReset}
 	}
+	rec.keepAlive = rec.keepAlive && sen.err == nil
 	return rec.Response, rec.keepAlive && stop() && con.reader.Buffered() == 0, nil
 }
 
+// abort ends the sending of a request, whose body is then not read any more.
+func (con *connection) abort(sen *sending) {
+	select {
+	case <-sen.ended:
+		return
+	default:
+	}
+	_ = con.SetDeadline(time.Unix(1, 0))
+	_ = sen.body.Close()
+	<-sen.ended
+}
+
 // received is the answer to a request.
 type received struct {
 	Response
@@ -135,17 +150,36 @@
 	unframed bool
 }
 
+// sending is a request that is being sent.
+type sending struct {
+	synchronous bool
+	body        io.Closer
+	// ended is closed when the request was sent, or could not be because of err.
+	ended chan struct{}
+	err   error
+}
+
 // send writes a short request before it returns. It writes a long one on another goroutine, because the answer may come
-// before the request is written completely; the channel then yields the result of the write.
-func (con *connection) send(req *http.Request) (<-chan error, error) {
+// before the request is written completely.
+func (con *connection) send(req *http.Request) *sending {
 	if req.ContentLength <= maxSynchronousBodyBytes {
-		return nil, con.write(req)
+		return &sending{synchronous: true, ended: alreadyEnded, err: con.write(req)}
 	}
-	written := make(chan error, 1)
-	go func() { written <- con.write(req) }()
-	return written, nil
+	sen := &sending{body: req.Body, ended: make(chan struct{})}
+	go func() {
+		defer close(sen.ended)
+		sen.err = con.write(req)
+	}()
+	return sen
 }
 
+// alreadyEnded is closed.
+var alreadyEnded = func() chan struct{} {
+	ended := make(chan struct{})
+	close(ended)
+	return ended
+}()
+
 // write sends a request through the connection's buffer; net/http would otherwise allocate one for each request.
 func (con *connection) write(req *http.Request) error {
 	if err := req.Write(con.writer); err != nil {
@@ -155,13 +189,17 @@
 }
 
 // receive reads answers until it finds the one that belongs to the request.
-func (con *connection) receive(req *http.Request, rul Rules) (received, error) {
+func (con *connection) receive(req *http.Request, rul Rules, sen *sending) (received, error) {
 	con.head.left = headBytes
 	for range maxAnswersPerRequest {
 		htr, err := con.readFinalHead(req)
 		if err != nil {
 			return received{}, &Failure{Stage: Waiting, Cause: err}
 		}
+		belongs := rul.Belongs == nil || rul.Belongs(htr, !con.used)
+		if belongs && rul.Deliver != nil {
+			return con.receiveOrDeliver(htr, rul, sen)
+		}
 		body, err := readBody(htr, rul.BodyBytes, con.room)
 		switch {
 		case err != nil:
@@ -171,21 +209,47 @@
 		}
 		// Only a body that was read to its end is closed: Close reads the rest of it, which may be without end.
 		_ = htr.Body.Close()
-		if rul.Belongs != nil && !rul.Belongs(htr, !con.used) {
+		if !belongs {
 			if htr.Close {
 				return received{}, &Failure{Stage: Waiting, Cause: errNoMatchingAnswer}
 			}
 			continue
 		}
-		con.idleUntil = time.Now().Add(idleFor(htr.Header))
-		return received{
-			Response:  Response{Status: htr.StatusCode, Header: htr.Header, Body: body},
-			keepAlive: !htr.Close, unframed: isUnframed(htr),
-		}, nil
+		return con.answered(htr, body), nil
 	}
 	return received{}, &Failure{Stage: Waiting, Cause: errNoMatchingAnswer}
 }
 
+func (con *connection) answered(htr *http.Response, body []byte) received {
+	con.idleUntil = time.Now().Add(idleFor(htr.Header))
+	return received{
+		Response:  Response{Status: htr.StatusCode, Header: htr.Header, Body: body},
+		keepAlive: !htr.Close, unframed: isUnframed(htr),
+	}
+}
+
+// receiveOrDeliver reads the body of an answer, or passes a long one to Rules.Deliver.
+func (con *connection) receiveOrDeliver(htr *http.Response, rul Rules, sen *sending) (received, error) {
+	body, rest, err := readBeginning(htr, rul.WholeBytes)
+	if err != nil {
+		return received{}, &Failure{Stage: Reading, Cause: err}
+	}
+	rec := con.answered(htr, body)
+	if rest == nil {
+		_ = htr.Body.Close()
+		return rec, nil
+	}
+	if rec.unframed {
+		rest = &unframedBody{Reader: rest, sen: sen}
+	}
+	rec.Body, rec.Delivered = nil, true
+	if err := rul.Deliver(rec.Response, htr.ContentLength, rest); err != nil {
+		return rec, &Failure{Stage: Reading, Cause: err}
+	}
+	_ = htr.Body.Close()
+	return rec, nil
+}
+
 // readFinalHead reads the head of an answer, after those of interim answers.
 func (con *connection) readFinalHead(req *http.Request) (*http.Response, error) {
 	con.head.on = true
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -21,13 +22,19 @@
 	// Belongs, if set, reports whether an answer is that of the request; others are skipped. On the first request of a
 	// connection, no answer can be that of an earlier one.
 	Belongs func(res *http.Response, firstRequest bool) bool
+	// Deliver, if set, takes an answer whose body is longer than WholeBytes, and reads the body to its end. The length is
+	// negative if it is unknown. The exchange then returns the answer without its body.
+	Deliver    func(res Response, length int64, body io.Reader) error
+	WholeBytes int64
 }
 
-// Response is a complete answer.
+// Response is a complete answer, or one whose body Rules.Deliver has read.
 type Response struct {
 	Status int
 	Header http.Header
 	Body   []byte
+	// Delivered says that Rules.Deliver has read the body.
+	Delivered bool
 }
 
 // Pool keeps idle connections to one address at a time; it is safe for concurrent use.
--- a/io/message/message.go
+++ b/io/message/message.go
@@ -1,10 +1,20 @@
 package message
 
 import (
+	"context"
+	"errors"
+	"io"
 	"net/http"
 	"strings"
+
+	"flamingoreach/core/answer"
 )
 
+// ErrCut says that the head of a long answer was passed on, but not its whole body.
+var ErrCut = errors.New("the answer is cut")
+
+var errTooLong = errors.New("the body is longer than the bound")
+
 // Message is a complete request or answer with the header fields that may be forwarded.
 type Message struct {
 	Method string
@@ -16,11 +26,32 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Open is set instead of Body if the body is long. It returns a reader of the body from its start; closing it ends a
+	// Read that waits. Length is the length of such a body, or negative if it is unknown.
+	Open   func() io.ReadCloser
+	Length int64
+	// Deliver, in a request, takes an answer whose body is too long to be held whole at each step, and reads the body to its
+	// end. It fails with ErrCut if the head was passed on before it failed. Without it, such answers are held whole.
+	Deliver Deliver
+	// Delivered, in an answer, says that Deliver has passed on its head.
+	Delivered bool
+}
+
+// Deliver takes a long answer, without Body, and its body.
+type Deliver func(ctx context.Context, ans answer.Answer, reply Message, body io.Reader) error
+
+// ReadWhole reads a body of at most the given number of bytes, and fails if it is longer.
+func ReadWhole(body io.Reader, bytes int64) ([]byte, error) {
+	whole, err := io.ReadAll(io.LimitReader(body, bytes+1))
+	if err == nil && int64(len(whole)) > bytes {
+		err = errTooLong
+	}
+	return whole, err
 }
 
 // Size returns the bytes of the body, the target and the header.
 func (msg *Message) Size() int {
-	size := len(msg.Body) + len(msg.Target)
+	size := len(msg.Body) + len(msg.Target) + max(int(msg.Length), 0)
 	for name, values := range msg.Header {
 		for _, value := range values {
 			size += len(name) + len(value)
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -38,6 +38,8 @@
 	leaderHooks
 
 	http connect.HTTPClient
+	// streams, if set, sends calls whose bodies are passed on as they arrive.
+	streams *pooledClient
 	// sweep closes connections that were idle too long, and closeIdle closes all idle ones.
 	sweep, closeIdle func()
 
@@ -80,7 +82,7 @@
 	cli := &Client{scheme: "http://"}
 	cli.codec = newCodec(&cli.controlBytes)
 	pools := &pooledClient{room: roo, pools: map[netip.AddrPort]*http1.Pool{}}
-	cli.http, cli.sweep, cli.closeIdle = pools, pools.sweep, pools.closeIdle
+	cli.http, cli.streams, cli.sweep, cli.closeIdle = pools, pools, pools.sweep, pools.closeIdle
 	return cli
 }
 
@@ -109,6 +111,14 @@
 
 // Run sends one attempt to a gate. Its error is a *refusal.Refusal, with the outcome "not run" only if nothing was sent.
 func (cli *Client) Run(ctx context.Context, address netip.AddrPort, cal call.Call, version uint64, msg message.Message) (answer.Answer, message.Message, error) {
+	if cli.streams != nil {
+		return cli.runStream(ctx, address, cal, version, msg)
+	}
+	return cli.runUnary(ctx, address, cal, version, msg)
+}
+
+// runUnary sends a call as one message; its body and that of the answer are held whole.
+func (cli *Client) runUnary(ctx context.Context, address netip.AddrPort, cal call.Call, version uint64, msg message.Message) (answer.Answer, message.Message, error) {
 	res, err := cli.callService(address).Run(ctx, connect.NewRequest(encodeRequest(cal, version, msg)))
 	if err != nil {
 		return answer.Answer{}, message.Message{}, refusalOfFailure(address, err)
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -51,6 +51,7 @@
 func (ser *Server) Handler() http.Handler {
 	path, handler := callv1connect.NewCallServiceHandler(ser, connect.WithReadMaxBytes(maxMessageBytes))
 	ser.mux.Handle(path, ser.awaitRoom(handler))
+	ser.mux.HandleFunc("POST "+streamPath, ser.serveStream)
 	return ser.mux
 }
 
@@ -64,13 +65,14 @@
 			return
 		}
 		ctx, cancel := context.WithTimeout(req.Context(), longestRoomWait)
-		taken, err := ser.Bodies.Await(ctx, req.ContentLength)
+		hol := ser.Bodies.Open(callsKind)
+		defer hol.Close()
+		err := hol.Await(ctx, req.ContentLength)
 		cancel()
 		if err != nil {
 			_ = errors.Write(wri, req, connect.NewError(connect.CodeResourceExhausted, err))
 			return
 		}
-		defer ser.Bodies.GiveBack(taken)
 		next.ServeHTTP(wri, req)
 	})
 }
--- a/proofs/clients/clients_test.go
+++ b/proofs/clients/clients_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -62,6 +64,73 @@
 	}
 }
 
+// readSlowly reads an answer in small parts, and fails if it is cut.
+func readSlowly(ctx context.Context, body io.Reader) (total int64, err error) {
+	for err == nil {
+		var count int64
+		count, err = io.CopyN(io.Discard, body, slowBytes)
+		total += count
+		wait(ctx, slowInterval)
+	}
+	if errors.Is(err, io.EOF) {
+		return total, nil
+	}
+	return total, err
+}
+
+// askUntilAnswered sends a request again on new connections until it is answered with 200, and returns the answer with its
+// body unread.
+func askUntilAnswered(ctx context.Context, cli *client, path string) (*http.Response, error) {
+	for ctx.Err() == nil {
+		if _, err := io.WriteString(cli, head(http.MethodGet, path, 0)); err == nil {
+			res, err := http.ReadResponse(cli.reader, nil)
+			if err == nil && res.StatusCode == http.StatusOK {
+				return res, nil
+			}
+			if err == nil {
+				_ = res.Body.Close()
+			}
+		}
+		wait(ctx, slowInterval)
+		if err := cli.dialAgain(ctx); err != nil {
+			return nil, err
+		}
+	}
+	return nil, ctx.Err()
+}
+
+func TestLongAnswersAreReadSlowly(t *testing.T) {
+	fle := startFleet(t, small)
+	var cutButComplete atomic.Int64
+	fle.crowd(160, func(ctx context.Context, cli *client) error {
+		res, err := askUntilAnswered(ctx, cli, longAnswerPath)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = res.Body.Close() }()
+		total, err := readSlowly(ctx, res.Body)
+		if err == nil && total < longAnswerBytes {
+			cutButComplete.Add(1)
+		}
+		return err
+	})
+	fle.requireContained()
+	require.Zero(t, cutButComplete.Load(), "answers that were cut and look complete")
+}
+
+func TestLongAnswersAreNotRead(t *testing.T) {
+	fle := startFleet(t, small)
+	fle.crowd(160, func(ctx context.Context, cli *client) error {
+		res, err := askUntilAnswered(ctx, cli, longAnswerPath)
+		if err != nil {
+			return err
+		}
+		<-ctx.Done()
+		return res.Body.Close()
+	})
+	fle.requireContained()
+}
+
 func TestAnswersWithoutEnd(t *testing.T) {
 	fle := startFleet(t, small)
 	fle.crowd(24, func(_ context.Context, cli *client) error {
@@ -73,6 +142,19 @@
 		"a client that does not read holds no slot of the backend server for ever")
 }
 
+func TestRequestsAreSentAheadAndNothingIsRead(t *testing.T) {
+	fle := startFleet(t, small)
+	fle.crowd(400, func(_ context.Context, cli *client) error {
+		for range 1000 {
+			if _, err := io.WriteString(cli, head(http.MethodGet, "/quotes/?bytes=1000000", 0)); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	fle.requireContained()
+}
+
 func TestBodiesStopMidway(t *testing.T) {
 	fle := startFleet(t, small)
 	fle.crowd(40, func(_ context.Context, cli *client) error {
@@ -141,6 +223,23 @@
 	fle.requireContained()
 }
 
+func TestLargeUploadsInBothDirections(t *testing.T) {
+	fle := startFleet(t, smallest)
+	const length = 60 << 20
+	fle.crowd(4, func(_ context.Context, cli *client) error {
+		path := "/confirms/?bytes=10"
+		if cli.host != fle.hosts[0] {
+			path = "/quotes/?bytes=10"
+		}
+		if _, err := io.WriteString(cli, head(http.MethodPost, path, length)); err != nil {
+			return err
+		}
+		_, err := io.CopyN(cli, &pattern{length: -1}, length)
+		return err
+	})
+	fle.requireContained()
+}
+
 func TestLargeUploadsAreSentSlowly(t *testing.T) {
 	fle := startFleet(t, smallest)
 	const length = 60 << 20
@@ -155,6 +254,34 @@
 	fle.requireContained()
 }
 
+// Guards against a bound on memory that refuses what the limits of the configuration allow, to a node that has nothing else
+// to do.
+func TestASingleUploadOfTheLargestSizePasses(t *testing.T) {
+	for name, length := range map[string]int64{"with a length": largestBodyBytes, "chunked": -1} {
+		for target, path := range map[string]string{"own host": "/quotes/?bytes=10", "other host": "/confirms/?bytes=10"} {
+			t.Run(name+" to the "+target, func(t *testing.T) {
+				fle := startFleet(t, smallest)
+				cli, err := dial(t.Context(), fle.hosts[0])
+				require.NoError(t, err)
+				defer func() { _ = cli.Close() }()
+				_, err = io.WriteString(cli, head(http.MethodPost, path, length))
+				require.NoError(t, err)
+				_, err = io.Copy(bodyWriter{cli, length < 0}, &pattern{length: largestBodyBytes})
+				require.NoError(t, err)
+				if length < 0 {
+					_, err = io.WriteString(cli, "0\r\n\r\n")
+					require.NoError(t, err)
+				}
+				answered, err := cli.receive()
+				require.NoError(t, err)
+				require.Equal(t, int64(10), answered)
+				require.Equal(t, int64(largestBodyBytes), max(fle.hosts[0].backend.received.Load(), fle.hosts[1].backend.received.Load()))
+				fle.requireContained()
+			})
+		}
+	}
+}
+
 // bodyWriter writes a body, in chunks if chunked is set.
 type bodyWriter struct {
 	io.Writer
@@ -171,6 +298,25 @@
 	return wri.Writer.Write(part)
 }
 
+func TestASingleLongAnswerPasses(t *testing.T) {
+	for _, length := range []int64{18 << 20, 24 << 20, 96 << 20} {
+		t.Run(fmt.Sprintf("%d MiB", length>>20), func(t *testing.T) {
+			fle := startFleet(t, smallest)
+			for _, hos := range fle.hosts {
+				cli, err := dial(t.Context(), hos)
+				require.NoError(t, err)
+				defer func() { _ = cli.Close() }()
+				_, err = io.WriteString(cli, head(http.MethodGet, fmt.Sprintf("/quotes/?bytes=%d", length), 0))
+				require.NoError(t, err)
+				received, err := cli.receive()
+				require.NoError(t, err)
+				require.Equal(t, length, received)
+			}
+			fle.requireContained()
+		})
+	}
+}
+
 // Guards against a timeout for unacknowledged data that counts the time in which the client's receive window is closed.
 func TestAClientThatPausesGetsTheRest(t *testing.T) {
 	fle := startFleet(t, smallest)
--- a/proofs/clients/fixture_test.go
+++ b/proofs/clients/fixture_test.go
@@ -257,6 +257,22 @@
 	return &client{host: hos, Conn: con, reader: bufio.NewReader(con)}, nil
 }
 
+// dialAgain closes the connection and opens another one.
+func (cli *client) dialAgain(ctx context.Context) error {
+	next, err := dial(ctx, cli.host)
+	if err != nil {
+		return err
+	}
+	cli.mut.Lock()
+	defer cli.mut.Unlock()
+	_ = cli.Conn.Close()
+	if cli.closed {
+		return next.Conn.Close()
+	}
+	cli.Conn, cli.reader = next.Conn, next.reader
+	return nil
+}
+
 // head returns the head of a request with a body of the given length, or with a chunked body if it is negative.
 func head(method, path string, length int64) string {
 	framing := fmt.Sprintf("Content-Length: %d", length)
