Account for the heads of requests

Connections whose clients send heads of 60 KiB without an end held three times that each for as long as headerTimeoutMs, on up to 2,048 connections.

A head longer than 4 KiB now takes room, three times its length. Without room, or when it has to give way, its connection ends; the request has not been read then.

--- a/io/hostnode/run.go
+++ b/io/hostnode/run.go
@@ -107,7 +107,7 @@
 		}
 		if bind.name == "callers" {
 			limits.Pipeline = nod.newPipeline(han.MayRunAhead)
-			limits.IdleLimit, limits.Patient = nod.callerIdleTime, true
+			limits.IdleLimit, limits.Room, limits.Patient = nod.callerIdleTime, nod.room, true
 		}
 		lis, err := httplistener.Listen(ctx, bind.address, bind.handler, limits)
 		if err != nil {
--- a/io/httplistener/connectionset.go
+++ b/io/httplistener/connectionset.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"flamingoreach/io/framing"
+	"flamingoreach/io/room"
 	"flamingoreach/io/tcpoptions"
 )
 
@@ -40,6 +41,8 @@
 	max int
 	// idleTime, if set, returns how long a connection may be idle, apart from the bound of net/http.
 	idleTime func() time.Duration
+	// room, if set, accounts for the heads of requests.
+	room *room.Room
 	// patient lets clients keep their receive windows closed.
 	patient bool
 	// onEvict, if set, is called with each connection that is closed for a new one.
@@ -153,8 +156,12 @@
 	}
 	tra.http2.Store(isHTTP2(con))
 	tra.state.Store(int32(state))
-	if state == http.StateIdle {
+	switch state {
+	case http.StateActive:
+		tra.endHead()
+	case http.StateIdle:
 		tra.idleSince.Store(time.Now().UnixNano())
+		tra.freeHeadRoom()
 		set.signal()
 	}
 }
--- a/io/httplistener/listener.go
+++ b/io/httplistener/listener.go
@@ -16,6 +16,7 @@
 	"flamingoreach/io/bytecount"
 	"flamingoreach/io/framing"
 	"flamingoreach/io/pipeline"
+	"flamingoreach/io/room"
 	"flamingoreach/io/tcpoptions"
 )
 
@@ -51,6 +52,8 @@
 	Connections int
 	// Patient lets clients that still respond stop reading an answer for any time.
 	Patient bool
+	// Room, if set, accounts for the long heads of requests.
+	Room *room.Room
 	// OnEvict, if set, is called with each connection that ends for a new one: why it was that one, and the bound.
 	OnEvict func(why string, connections int)
 	// Farewell holds the fields of the answer to a request that crosses the end of its connection during Close; the status,
@@ -74,6 +77,7 @@
 	soc := newSocket(tcp)
 	soc.connections.farewell = farewell(bou.Farewell)
 	soc.connections.max, soc.connections.idleTime = bou.Connections, bou.IdleLimit
+	soc.connections.room = bou.Room
 	soc.connections.patient, soc.connections.onEvict = bou.Patient, bou.OnEvict
 	listener := net.Listener(soc)
 	address = listener.Addr().(*net.TCPAddr).AddrPort()
--- a/io/httplistener/trackedconnection.go
+++ b/io/httplistener/trackedconnection.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"flamingoreach/io/framing"
+	"flamingoreach/io/room"
 	"flamingoreach/io/tcpoptions"
 )
 
@@ -22,8 +23,16 @@
 	lingerTime = 200 * time.Millisecond
 	// livenessInterval is the interval at which a write that waits for the client checks that the client is still there.
 	livenessInterval = time.Second
+	// freeHeadBytes is the length up to which a head takes no room. A longer one takes headFactor times its length: net/http
+	// holds it as it was read and as fields.
+	freeHeadBytes = 4 << 10
+	headFactor    = 3
+	// headsKind is the kind under which heads take room.
+	headsKind = "heads"
 )
 
+var errNoRoom = errors.New("there is no room for the head of a request")
+
 // trackedConnection is an accepted connection that records whether a request on it is still unanswered. The shutdown of
 // net/http treats a connection as idle until it has read a request, and so drops requests that have arrived but were
 // not read; with this record, Close has them answered.
@@ -50,6 +59,12 @@
 	ending bool
 	// writeDeadline is the deadline that the server has set.
 	writeDeadline time.Time
+
+	// headMut guards what follows. It is not mut, which the functions take that make others give back room.
+	headMut sync.Mutex
+	// headBytes is what was read of the head of the present request, and hol the room for a long one.
+	headBytes int
+	hol       *room.Holder
 }
 
 // Read records that a request has begun. Once the connection ends, it discards what arrives.
@@ -58,6 +73,9 @@
 		count, err := tra.TCPConn.Read(into)
 		switch {
 		case tra.beginRequest(count):
+			if !tra.takeHeadRoom(count) {
+				return 0, errNoRoom
+			}
 			return count, err
 		case err != nil:
 			return 0, io.EOF
@@ -65,6 +83,45 @@
 	}
 }
 
+// takeHeadRoom takes room for what was read of the head of a request, and reports whether there was some. The state is
+// StateNew or StateIdle until the head is complete.
+func (tra *trackedConnection) takeHeadRoom(count int) bool {
+	if state := http.ConnState(tra.state.Load()); tra.set.room == nil || state != http.StateNew && state != http.StateIdle {
+		return true
+	}
+	tra.headMut.Lock()
+	defer tra.headMut.Unlock()
+	tra.headBytes += count
+	if tra.headBytes <= freeHeadBytes {
+		return true
+	}
+	if tra.hol == nil {
+		tra.hol = tra.set.room.Open(headsKind)
+		tra.hol.Pace(func() { _ = tra.TCPConn.SetReadDeadline(time.Unix(1, 0)) })
+	}
+	return tra.hol.Take(int64(tra.headBytes)*headFactor - tra.hol.Held())
+}
+
+// endHead says that the head of the present request is complete, after which it does not give way any more.
+func (tra *trackedConnection) endHead() {
+	tra.headMut.Lock()
+	defer tra.headMut.Unlock()
+	if tra.hol != nil && tra.hol.EndPace() {
+		_ = tra.TCPConn.SetReadDeadline(time.Time{})
+	}
+}
+
+// freeHeadRoom gives back the room of a head once its request is answered or the connection ends.
+func (tra *trackedConnection) freeHeadRoom() {
+	tra.headMut.Lock()
+	defer tra.headMut.Unlock()
+	tra.headBytes = 0
+	if tra.hol != nil {
+		tra.hol.Close()
+		tra.hol = nil
+	}
+}
+
 // beginRequest records that bytes were read, and reports whether the connection is not ending.
 func (tra *trackedConnection) beginRequest(count int) bool {
 	tra.mut.Lock()
@@ -218,6 +275,7 @@
 		return net.ErrClosed
 	}
 	tra.set.remove(tra)
+	tra.freeHeadRoom()
 	return tra.TCPConn.Close()
 }
 
--- a/proofs/clients/clients_test.go
+++ b/proofs/clients/clients_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -209,6 +210,29 @@
 	fle.requireContained()
 }
 
+func TestHeadsDoNotEnd(t *testing.T) {
+	for name, part := range map[string]string{
+		"many fields":    strings.Repeat("X-Field: value\r\n", 60<<10/len("X-Field: value\r\n")),
+		"one long field": "X-Field: " + strings.Repeat("v", 60<<10),
+	} {
+		t.Run(name, func(t *testing.T) {
+			fle := startFleet(t, small)
+			fle.crowd(1200, func(ctx context.Context, cli *client) error {
+				for ctx.Err() == nil {
+					_, _ = io.WriteString(cli, "GET / HTTP/1.1\r\nHost: a\r\n"+part)
+					// The connection is closed after the time for the head.
+					_, _ = cli.reader.ReadByte()
+					if err := cli.dialAgain(ctx); err != nil {
+						return err
+					}
+				}
+				return nil
+			})
+			fle.requireContained()
+		})
+	}
+}
+
 func TestConnectionsOpenAndClose(t *testing.T) {
 	fle := startFleet(t, small)
 	fle.crowd(50, func(ctx context.Context, cli *client) error {
