Let the room for clients follow changes of memoryMb

A node applies a changed memoryMb to the limit of the runtime while it runs, but kept the room of the old value. Room.Resize changes it; if more is taken, holders give way.

--- a/io/hostnode/reload.go
+++ b/io/hostnode/reload.go
@@ -13,6 +13,7 @@
 	former := nod.bounds.Swap(&set.Bounds)
 	nod.knownRegions.Store(&set.Regions)
 	setMemoryLimit(set.MemoryBytes)
+	nod.room.Resize(roomBytes(set.MemoryBytes))
 	nod.retryBudget.SetBounds(set.Bounds.RepeatRatio, set.Bounds.RepeatSlack)
 	nod.control.Offer(dispatcher.Event("pace.configured", nil, nod.configurePace))
 	nod.log.Info("settings reloaded", "bounds", set.Bounds, "formerBounds", *former, "memoryBytes", set.MemoryBytes,
--- a/io/hostnode/room.go
+++ b/io/hostnode/room.go
@@ -11,10 +11,10 @@
 
 // setUpRoom creates the room for all that is held for clients.
 func (nod *Node) setUpRoom() {
-	nod.room = room.New(nod.settings.MemoryBytes * roomNumerator / roomDivisor)
+	nod.room = room.New(roomBytes(nod.settings.MemoryBytes))
 	lines := decisionlog.New(nod.log, roomLinesPerSecond)
-	nod.room.OnGiveWay = func(kind string, held, used int64) {
-		lines.Write("client gives way", "limit", "clientRoom", "bytes", nod.room.Max(), "used", used, "kind", kind, "held", held)
+	nod.room.OnGiveWay = func(kind string, held, used, most int64) {
+		lines.Write("client gives way", "limit", "clientRoom", "bytes", most, "used", used, "kind", kind, "held", held)
 	}
 	nod.cutLog = decisionlog.New(nod.log, roomLinesPerSecond)
 	nod.peerServer.Bodies = nod.room
@@ -24,6 +24,9 @@
 	nod.metrics.Gauge("answers_cut", func() float64 { return float64(nod.answersCut.Load()) })
 }
 
+// roomBytes returns the size of the room in a process that may use the given number of bytes.
+func roomBytes(memoryBytes int64) int64 { return memoryBytes * roomNumerator / roomDivisor }
+
 // Room returns the room for all that is held for clients.
 func (nod *Node) Room() *room.Room { return nod.room }
 
--- a/io/room/room.go
+++ b/io/room/room.go
@@ -21,16 +21,15 @@
 // Room is a number of bytes that several bodies share; a nil *Room has no bound. It is safe for concurrent use.
 type Room struct {
 	// OnGiveWay, if set, is called for each holder that is asked to give way, with its kind, the bytes that it holds, and
-	// those that are taken of the whole room. The room is locked meanwhile.
-	OnGiveWay func(kind string, held, used int64)
+	// those that are taken of the room and that it has. The room is locked meanwhile.
+	OnGiveWay func(kind string, held, used, bytes int64)
 
-	max int64
 	// whole is the room that this one is a part of, or nil.
 	whole   *Room
 	gaveWay atomic.Int64
 
-	mut  sync.Mutex
-	used int64
+	mut       sync.Mutex
+	max, used int64
 	// paced holds the holders whose clients set the pace.
 	paced map[*Holder]struct{}
 	// waiting holds those that wait for room, in the order in which they get it.
@@ -58,9 +57,20 @@
 	if roo == nil {
 		return math.MaxInt64
 	}
+	roo.mut.Lock()
+	defer roo.mut.Unlock()
 	return roo.max
 }
 
+// Resize changes the number of bytes. If more are taken, holders give way.
+func (roo *Room) Resize(bytes int64) {
+	roo.mut.Lock()
+	defer roo.mut.Unlock()
+	roo.max = bytes
+	roo.askToGiveWay(roo.used-roo.max, nil)
+	roo.serveWaiting()
+}
+
 // Used returns the number of bytes that are taken. It exceeds Max for a moment if holders take what they cannot wait for.
 func (roo *Room) Used() int64 {
 	roo.mut.Lock()
@@ -199,7 +209,7 @@
 		missing -= worst.held
 		roo.gaveWay.Add(1)
 		if roo.OnGiveWay != nil {
-			roo.OnGiveWay(worst.kind, worst.held, roo.used)
+			roo.OnGiveWay(worst.kind, worst.held, roo.used, roo.max)
 		}
 		worst.giveWay()
 	}
--- a/io/room/room_test.go
+++ b/io/room/room_test.go
@@ -78,6 +78,16 @@
 	})
 }
 
+func TestAnotherSizeHoldsAtOnce(t *testing.T) {
+	roo := room.New(4)
+	require.False(t, roo.Take(5))
+	roo.Resize(5)
+	require.True(t, roo.Take(5))
+	roo.Resize(4)
+	roo.GiveBack(1)
+	require.False(t, roo.Take(1))
+}
+
 func awaitFor(t *testing.T, hol *room.Holder, duration time.Duration, bytes int64) error {
 	ctx, cancel := context.WithTimeout(t.Context(), duration)
 	defer cancel()
