--- a/io/spool/spool.go
+++ b/io/spool/spool.go
@@ -72,6 +72,13 @@
 	return false, nil
 }
 
+// Len returns the number of bytes that are held.
+func (spo *Spool) Len() int64 {
+	spo.mut.Lock()
+	defer spo.mut.Unlock()
+	return spo.held.Len()
+}
+
 // End says that no more is read: the body is whole, or its rest is missing because of an error.
 func (spo *Spool) End(err error) {
 	spo.mut.Lock()
