Let earlier holders of the same load give way

Answers of up to 64 KiB take room without a wait, so many that nobody reads could exceed the room together: each new one had the same load as those before it, and only holders with a higher load gave way. The earlier ones now do, after the same 2 s.

TestOfHoldersWithTheSameLoadEarlierOnesGiveWay failed before: 12 bytes of 10 were held.

--- a/io/room/room.go
+++ b/io/room/room.go
@@ -108,7 +108,7 @@
 	return roo.await(ctx, bytes, nil)
 }
 
-// await is Await for a holder, or for nil. A holder with a higher load than the one that waits gives way to it.
+// await is Await for a holder, or for nil. A holder whose load is not lower than that of the one that waits can give way to it.
 func (roo *Room) await(ctx context.Context, bytes int64, hol *Holder) error {
 	roo.mut.Lock()
 	if bytes > roo.max {
@@ -177,7 +177,8 @@
 	}
 }
 
-// askToGiveWay asks the holders with the highest loads to give way, until those that were asked hold the missing bytes.
+// askToGiveWay asks the holders with the highest loads to give way, until those that were asked hold the missing bytes. None
+// has a lower load than the holder that needs the room, which is later than those of the same load.
 func (roo *Room) askToGiveWay(missing int64, hol *Holder) {
 	if missing <= 0 {
 		return
@@ -198,7 +199,7 @@
 			if other == hol || other.asked || other.held == 0 || now.Sub(other.pacedAt) < giveWayAfter {
 				continue
 			}
-			if load := other.load(now); load > highest {
+			if load := other.load(now); load >= highest {
 				worst, highest = other, load
 			}
 		}
--- a/io/room/room_test.go
+++ b/io/room/room_test.go
@@ -94,6 +94,34 @@
 	return hol.Await(ctx, bytes)
 }
 
+// Guards against many small answers that nobody reads and that together exceed the room.
+func TestOfHoldersWithTheSameLoadEarlierOnesGiveWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		roo := room.New(10)
+		force := func() *room.Holder {
+			hol := roo.Open("answers")
+			hol.Force(2)
+			hol.Pace(func() { go hol.Close() })
+			return hol
+		}
+		var held []*room.Holder
+		for range 5 {
+			held = append(held, force())
+		}
+		time.Sleep(3 * time.Second)
+		for range 3 {
+			held = append(held, force())
+			synctest.Wait()
+			require.LessOrEqual(t, roo.Used(), int64(10))
+		}
+		for _, hol := range held {
+			hol.Close()
+		}
+		require.Equal(t, int64(3), roo.GaveWay())
+		require.Zero(t, roo.Used())
+	})
+}
+
 func TestThePartsOfARoomShareItsBytes(t *testing.T) {
 	whole := room.New(10)
 	part := whole.Part(6)
