Write a short call between nodes at once

A call's head and body were two readers for net/http, which then writes the header by itself and allocates a buffer of 32 KiB to copy the body.

--- a/io/peer/stream.go
+++ b/io/peer/stream.go
@@ -73,17 +73,27 @@
 	if err != nil {
 		return nil, err
 	}
+	length := int64(len(head)+len(body)) + msg.Length
+	var rest io.ReadCloser
+	switch {
+	case msg.Open != nil:
+		rest = msg.Open()
+	case len(body) > freeCallBytes:
+		rest = io.NopCloser(bytes.NewReader(body))
+	default:
+		head = append(head, body...)
+	}
 	req := &http.Request{
 		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: address.String(), Path: streamPath}, ProtoMajor: 1, ProtoMinor: 1,
-		Header: http.Header{"User-Agent": {""}}, ContentLength: int64(len(head)+len(body)) + msg.Length,
-		Body: io.NopCloser(io.MultiReader(bytes.NewReader(head), bytes.NewReader(body))),
+		Header: http.Header{"User-Agent": {""}}, ContentLength: length,
+		// net/http writes the header and a body of this type at once, and needs no buffer to copy it.
+		Body: io.NopCloser(bytes.NewReader(head)),
 	}
-	if msg.Open != nil {
-		long := msg.Open()
+	if rest != nil {
 		req.Body = struct {
 			io.Reader
 			io.Closer
-		}{io.MultiReader(bytes.NewReader(head), long), long}
+		}{io.MultiReader(bytes.NewReader(head), rest), rest}
 	}
 	return req, nil
 }
