Share the lengths of answers and drop a repeated attempt to take room

Spool.Pass tried to take room before it waited for it, which Await does itself. Behaviour is unchanged.

--- a/io/message/message.go
+++ b/io/message/message.go
@@ -10,6 +10,13 @@
 	"flamingoreach/core/answer"
 )
 
+const (
+	// WholeAnswerBytes is the length up to which an answer is held whole; a longer one is passed on as it arrives.
+	WholeAnswerBytes = 64 << 10
+	// ErrorBytes bounds the body of an answer that may not be passed on, because the call may be retried.
+	ErrorBytes = 1 << 20
+)
+
 // ErrCut says that the head of a long answer was passed on, but not its whole body.
 var ErrCut = errors.New("the answer is cut")
 
--- a/io/peer/stream.go
+++ b/io/peer/stream.go
@@ -30,10 +30,6 @@
 	lengthBytes = 4
 	// maxHeadBytes bounds a head; the header of a caller's request is bounded by less.
 	maxHeadBytes = 1 << 20
-	// wholeAnswerBytes is the length up to which an answer is held whole; a longer one is passed on as it arrives.
-	wholeAnswerBytes = 64 << 10
-	// errorBytes bounds the body of an answer that may not be passed on, because the call may be retried.
-	errorBytes = 1 << 20
 )
 
 var errHeadTooLong = errors.New("the head is longer than the bound")
@@ -108,7 +104,7 @@
 	var reply message.Message
 	rul := http1.Rules{BodyBytes: maxMessageBytes}
 	if msg.Deliver != nil {
-		rul.WholeBytes = wholeAnswerBytes
+		rul.WholeBytes = message.WholeAnswerBytes
 		rul.Deliver = func(_ http1.Response, length int64, body io.Reader) (err error) {
 			delivered, reply, err = receiveLong(ctx, msg.Deliver, length, body)
 			return err
@@ -138,7 +134,7 @@
 		return answer.Answer{}, message.Message{}, err
 	}
 	if ans.Refusal != nil {
-		reply.Body, err = message.ReadWhole(body, errorBytes)
+		reply.Body, err = message.ReadWhole(body, message.ErrorBytes)
 		return ans, reply, err
 	}
 	reply.Length = max(length-headLength, -1)
--- a/io/spool/spool.go
+++ b/io/spool/spool.go
@@ -39,10 +39,8 @@
 // Pass reads the rest of a body, each part once there is room for it. It fails with the body's error or the context's.
 func (spo *Spool) Pass(ctx context.Context, body io.Reader) error {
 	for {
-		if !spo.hol.Take(segments.Bytes) {
-			if err := spo.hol.Await(ctx, segments.Bytes); err != nil {
-				return err
-			}
+		if err := spo.hol.Await(ctx, segments.Bytes); err != nil {
+			return err
 		}
 		if whole, err := spo.read(body); whole || err != nil {
 			return err
