Answer all pipelined requests that run at a planned stop

Callers saw the answers to two of six pipelined requests after a SIGTERM, the second one with "Connection: close".

Cause: the first answer whose turn began after the stop ended its connection, and Pipeline cancelled all that ran behind it, as if it had not been read. The log says so: "pipelined requests cancelled", with the cause "an answer ends the connection". The stop had not run out of time: the connection ended 0.5 s after the signal.

After a stop, a connection now ends with the first answer behind which no request runs. Connection.begin decides that under the connection's lock, and the listener leaves "Connection: close" to it. As nothing is started after the stop, at most seven further answers are due.

--- a/io/httplistener/listener.go
+++ b/io/httplistener/listener.go
@@ -132,7 +132,7 @@
 }
 
 // wrapHandler refuses requests with an ambiguous body length. Once EndKeepAlive was called, it adds
-// "Connection: close" to each answer.
+// "Connection: close" to each answer, except that a pipeline does so for its connections.
 func (lis *Listener) wrapHandler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
 		if framing.Ambiguous(req.Context()) {
@@ -140,7 +140,7 @@
 			http.Error(wri, "the head gives two lengths of the body", http.StatusBadRequest)
 			return
 		}
-		if lis.keepAliveEnded.Load() {
+		if lis.keepAliveEnded.Load() && !pipeline.Serves(req) {
 			wri.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(wri, req)
@@ -183,8 +183,9 @@
 	return eris.Wrapf(err, "stop serving on %s", lis.Address())
 }
 
-// EndKeepAlive closes each connection after its next answer, so that callers connect to other hosts. An idle
-// connection stays open until then: closing it could lose a request that is already on its way.
+// EndKeepAlive closes each connection after its next answer, so that callers connect to other hosts; if pipelined requests
+// run behind that one, after the last of their answers. An idle connection stays open until then: closing it could lose a
+// request that is already on its way.
 func (lis *Listener) EndKeepAlive() {
 	if lis.pipeline != nil {
 		lis.pipeline.Stop()
--- a/io/pipeline/pipeline.go
+++ b/io/pipeline/pipeline.go
@@ -55,7 +55,8 @@
 	return http.HandlerFunc(pip.serve)
 }
 
-// Stop makes the pipeline start no further request ahead. From then on each answer must end its connection.
+// Stop makes the pipeline start no further request ahead. From then on a connection ends with the answer behind which no
+// request runs.
 func (pip *Pipeline) Stop() {
 	pip.mut.Lock()
 	defer pip.mut.Unlock()
@@ -80,16 +81,30 @@
 	}
 }
 
+// Serves reports whether a pipeline answers a request. It then ends the request's connection after a stop.
+func Serves(req *http.Request) bool { return connectionOf(req) != nil }
+
+// connectionOf returns the connection of a request whose turn it is, or nil if no pipeline serves it.
+func connectionOf(req *http.Request) *Connection {
+	con, _ := req.Context().Value(contextKey{}).(*Connection)
+	if req.ProtoMajor != 1 {
+		return nil
+	}
+	return con
+}
+
 // serve answers the request whose turn it is.
 func (pip *Pipeline) serve(wri http.ResponseWriter, req *http.Request) {
-	con, ok := req.Context().Value(contextKey{}).(*Connection)
-	if !ok || req.ProtoMajor != 1 {
+	con := connectionOf(req)
+	if con == nil {
 		pip.next.ServeHTTP(wri, req)
 		return
 	}
-	// Once the pipeline has stopped, each answer ends its connection.
-	ear := con.begin(req, req.Close || pip.stopped.Load())
+	ear, closing := con.begin(req)
 	defer con.finish()
+	if closing {
+		wri.Header().Set("Connection", "close")
+	}
 	if ear == nil {
 		pip.next.ServeHTTP(wri, req)
 		return
--- a/io/pipeline/stop_test.go
+++ b/io/pipeline/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -114,3 +115,101 @@
 	}
 	t.Logf("%d requests were told that they have not run", told.Load())
 }
+
+const (
+	// rowSeed is the seed of the rows of requests that are sent before a stop.
+	rowSeed = 8
+	// maxRunning bounds the requests of one connection that run at the same time.
+	maxRunning = 8
+	// longestAnswer is the longest time that a handler of these rows takes.
+	longestAnswer = 1500 * time.Millisecond
+)
+
+// Guards against a planned stop that drops the answers of requests that run, or runs one behind them.
+func TestAStopAnswersAllRequestsThatRun(t *testing.T) {
+	ser := serve(t, nil)
+	var text strings.Builder
+	for number := 1; number <= maxRunning; number++ {
+		text.WriteString(get(200*time.Millisecond, number))
+	}
+	con, reader := connect(t, ser, text.String()+strings.Repeat(get(time.Minute, maxRunning+1), 100))
+	require.Eventually(t, func() bool { return ser.count("begin") == maxRunning }, 5*time.Second, time.Millisecond)
+	closed := make(chan error, 1)
+	go func() { closed <- ser.close(t.Context()) }()
+	for number := 1; number <= maxRunning; number++ {
+		ans := receive(t, reader)
+		require.Equal(t, fmt.Sprint(number), ans.text)
+		require.Equal(t, number == maxRunning, ans.close, "only the last answer ends the connection")
+	}
+	requireEnd(t, reader)
+	require.NoError(t, con.Close())
+	require.NoError(t, <-closed)
+	require.Equal(t, maxRunning, ser.count("begin"))
+	require.Zero(t, ser.count("cancelled"))
+	require.Zero(t, ser.pip.Cancelled())
+}
+
+// Guards against a stop that waits for requests that run ahead beyond its own end.
+func TestAStopEndsAlthoughRequestsRunAhead(t *testing.T) {
+	ser := serve(t, nil)
+	_, reader := connect(t, ser, strings.Repeat(get(time.Minute, 1), 4))
+	require.Eventually(t, func() bool { return ser.count("begin") == 4 }, 5*time.Second, time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	require.ErrorIs(t, ser.close(ctx), context.DeadlineExceeded)
+	require.Less(t, time.Since(began), time.Second)
+	requireEnd(t, reader)
+	require.Eventually(t, func() bool { return ser.count("cancelled") == 4 }, time.Second, time.Millisecond)
+}
+
+// Guards against a stop that loses a request that runs, whatever the number of requests of the row, their times, their
+// bodies and the moment of the stop.
+func TestAStopLosesNoRequestOfARow(t *testing.T) {
+	for _, after := range []time.Duration{time.Millisecond, 100 * time.Millisecond, time.Second} {
+		for requests := 2; requests <= 2*maxRunning; requests++ {
+			t.Run(fmt.Sprintf("%d requests, %s", requests, after), func(t *testing.T) {
+				t.Parallel()
+				ran := rand.New(rand.NewPCG(rowSeed, uint64(requests)<<32|uint64(after)))
+				var text strings.Builder
+				for number := 1; number <= requests; number++ {
+					wait := time.Duration(ran.Int64N(int64(longestAnswer) >> ran.IntN(8))).Round(time.Millisecond)
+					if number > 1 && ran.IntN(requests) == 0 {
+						fmt.Fprintf(&text, "POST /%s?%d HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody", wait, number)
+						continue
+					}
+					text.WriteString(get(wait, number))
+				}
+				ser := serve(t, nil)
+				con, reader := connect(t, ser, text.String())
+				time.Sleep(after)
+				closed := make(chan error, 1)
+				go func() { closed <- ser.close(t.Context()) }()
+				answered := receiveRow(t, reader, requests)
+				require.NoError(t, con.Close())
+				require.NoError(t, <-closed)
+				require.Equal(t, answered, ser.count("begin"), "each request that began is answered")
+				require.Equal(t, answered, ser.count("end"))
+			})
+		}
+	}
+}
+
+// receiveRow reads the answers to a row of requests until one ends the connection, or until the farewell behind the last
+// one, and returns their number.
+func receiveRow(t *testing.T, reader *bufio.Reader, requests int) int {
+	t.Helper()
+	for number := 1; ; number++ {
+		ans := receive(t, reader)
+		if ans.status == http.StatusRequestTimeout {
+			require.Equal(t, requests+1, number, "a request that was read is not told that it has not run")
+			return requests
+		}
+		require.Equal(t, http.StatusOK, ans.status)
+		require.Equal(t, fmt.Sprint(number), ans.text)
+		if ans.close {
+			requireEnd(t, reader)
+			return number
+		}
+	}
+}
--- a/io/pipeline/turn.go
+++ b/io/pipeline/turn.go
@@ -10,13 +10,13 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// begin begins the turn of a request and returns it as it was run ahead, or nil if it was not. If its answer ends the
-// connection, the requests behind it will not be answered.
-func (con *Connection) begin(req *http.Request, closing bool) *early {
+// begin begins the turn of a request. It returns the request as it was run ahead, or nil if it was not, and whether its answer
+// ends the connection. After a stop, that is the answer behind which no request runs: a request that runs may have been
+// passed on, so its caller must not be told that it was not.
+func (con *Connection) begin(req *http.Request) (ear *early, closing bool) {
 	con.mut.Lock()
 	defer con.mut.Unlock()
-	con.current, con.closing, con.alone, con.known = req, closing, false, false
-	var ear *early
+	con.current, con.alone, con.known = req, false, false
 	if len(con.ahead) > 0 {
 		if same(req, con.ahead[0].req) {
 			ear, con.ahead = con.ahead[0], con.ahead[1:]
@@ -25,11 +25,9 @@
 			con.cancelAhead("the requests do not match")
 		}
 	}
-	if closing {
-		con.cancelAhead("an answer ends the connection")
-	}
+	con.closing = req.Close || con.pip.stopped.Load() && len(con.ahead) == 0
 	con.startWaiting()
-	return ear
+	return ear, con.closing
 }
 
 // finish ends the turn of a request.
--- a/proofs/clients/backend_test.go
+++ b/proofs/clients/backend_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	"flamingoreach/platform/standin"
 )
@@ -55,7 +56,7 @@
 }
 
 // backend is a backend server that answers with as many bytes as the query's parameter bytes says, without a length if it is
-// negative, and without end then. It reads the body of each request first.
+// negative, and without end then. It reads the body of each request first, and waits as long as the parameter wait says.
 type backend struct {
 	*standin.BackendServer
 	executed, running atomic.Int64
@@ -78,6 +79,8 @@
 	if req.ContentLength != 0 {
 		bac.received.Store(length)
 	}
+	delay, _ := time.ParseDuration(req.URL.Query().Get("wait"))
+	time.Sleep(delay)
 	answer, _ := strconv.ParseInt(req.URL.Query().Get("bytes"), 10, 64)
 	wri.Header().Set("Attempt-Id", req.Header.Get("Attempt-Id"))
 	wri.Header().Set("Response-Signature", "signed")
