Tell apart crashing requests by query and representation

Cause: the fingerprint of a request left out its query and all header fields. An answer to any request of the path cleared the record of the crash, and two crashes refused all of them. Ruled out: deaths without a suspect (each death had one, always the same fingerprint) and a refusal that ends too early (alone, the request reaches two servers and is refused from then on).

Crashes are now recorded under the request's variant, the fingerprint with the query and the header fields that choose a representation; the node of the gate works it out from the request that it has. An answer clears its own variant. Each crash is recorded under the fingerprint too, which is refused once it takes three variants to explain its crashes, so that a request with another query each time is bounded as well. A metric counts records that were evicted.

--- a/cmd/flamingoreach-host/command/crash_test.go
+++ b/cmd/flamingoreach-host/command/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
@@ -13,6 +14,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"flamingoreach/core/outcome"
+	"flamingoreach/core/reason"
 	"flamingoreach/platform/standin"
 )
 
@@ -23,6 +26,9 @@
 	crashTimeout = 2 * time.Second
 	// maxCrashes is the number of deaths after which a request with the same content must no longer reach a backend server.
 	maxCrashes = 2
+	// maxPathCrashes is the same for requests that differ in their query only, if none of them is answered: two requests end
+	// two backend servers each, and the third one ends one.
+	maxPathCrashes = 5
 )
 
 // crashFleet is a fleet of one service whose backend servers crash under the requests with crashPath.
@@ -59,9 +65,14 @@
 
 // send sends a request to one host.
 func (fle *crashFleet) send(ctx context.Context, number int, path string) standin.Reply {
-	reply, _ := fle.callers[number%len(fle.callers)].Send(ctx, standin.Request{
-		ID: fmt.Sprint("attempt-", fle.sent.Add(1)), Method: "GET", Host: benchmarkHost, Path: path, Key: crashKey, Timeout: crashTimeout,
-	})
+	return fle.sendRequest(ctx, number, standin.Request{Path: path})
+}
+
+// sendRequest sends a request with a path to one host.
+func (fle *crashFleet) sendRequest(ctx context.Context, number int, req standin.Request) standin.Reply {
+	req.ID, req.Method, req.Host = fmt.Sprint("attempt-", fle.sent.Add(1)), "GET", benchmarkHost
+	req.Key, req.Timeout = crashKey, crashTimeout
+	reply, _ := fle.callers[number%len(fle.callers)].Send(ctx, req)
 	return reply
 }
 
@@ -114,3 +125,95 @@
 	}
 	require.Equal(t, first, fle.crashes())
 }
+
+// siblings sends requests that differ from the crashing one at a rate until the context ends, and returns the numbers of those
+// that were answered, and of those that were refused because they crash backend servers.
+func (fle *crashFleet) siblings(ctx context.Context, perSecond int, request func(number int) standin.Request) (answered, quarantined int64) {
+	var served, refused atomic.Int64
+	var sending sync.WaitGroup
+	for ticker, number := time.NewTicker(time.Second/time.Duration(perSecond)), 0; ; number++ {
+		select {
+		case <-ctx.Done():
+			sending.Wait()
+			return served.Load(), refused.Load()
+		case <-ticker.C:
+		}
+		sending.Go(func() {
+			reply := fle.sendRequest(context.WithoutCancel(ctx), number, request(number))
+			switch {
+			case reply.Signed:
+				served.Add(1)
+			case strings.Contains(reply.Body, string(reason.Quarantined)+", "+outcome.NotRun.String()):
+				refused.Add(1)
+			}
+		})
+	}
+}
+
+// Guards against a crashing request that goes on to end backend servers because requests that differ from it in their query
+// or in a header field are answered, and against a refusal of those.
+func TestACrashingRequestEndsTwoBackendServersAtMostBesideItsSiblings(t *testing.T) {
+	const crashAccept = "text/crash"
+	byQuery := func(number int) standin.Request {
+		return standin.Request{Path: fmt.Sprint(crashPath, "?item=", number)}
+	}
+	for name, test := range map[string]struct {
+		perSecond int
+		crashing  standin.Request
+		crashIf   func(req *http.Request) bool
+		sibling   func(number int) standin.Request
+	}{
+		"20 siblings a second": {
+			20,
+			standin.Request{Path: crashPath + "?item=crash"},
+			func(req *http.Request) bool { return req.URL.RawQuery == "item=crash" }, byQuery,
+		},
+		"200 siblings a second": {
+			200,
+			standin.Request{Path: crashPath + "?item=crash"},
+			func(req *http.Request) bool { return req.URL.RawQuery == "item=crash" }, byQuery,
+		},
+		"siblings without a query": {
+			20,
+			standin.Request{Path: crashPath + "?item=crash"},
+			func(req *http.Request) bool { return req.URL.RawQuery == "item=crash" },
+			func(int) standin.Request { return standin.Request{Path: crashPath} },
+		},
+		"siblings that accept another form": {
+			20,
+			standin.Request{Path: crashPath, Accept: crashAccept},
+			func(req *http.Request) bool { return req.Header.Get("Accept") == crashAccept },
+			func(int) standin.Request { return standin.Request{Path: crashPath, Accept: "text/plain"} },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fle := startCrashFleet(t, func(bac *standin.BackendServer) { bac.DownTime, bac.CrashIf = 300*time.Millisecond, test.crashIf })
+			ctx, cancel := context.WithCancel(t.Context())
+			var sending sync.WaitGroup
+			var answered, quarantined int64
+			sending.Go(func() { answered, quarantined = fle.siblings(ctx, test.perSecond, test.sibling) })
+			for number := range 3 * crashHosts {
+				time.Sleep(500 * time.Millisecond)
+				reply := fle.sendRequest(t.Context(), number, test.crashing)
+				t.Logf("request %d: status %d, %d crashes", number, reply.Status, fle.crashes())
+			}
+			cancel()
+			sending.Wait()
+			t.Logf("%d siblings answered, %d in quarantine", answered, quarantined)
+			require.LessOrEqual(t, fle.crashes(), int64(maxCrashes))
+			require.Zero(t, quarantined, "siblings are not refused")
+			require.Greater(t, answered, int64(test.perSecond*3))
+		})
+	}
+}
+
+// Guards against a crashing request that ends backend servers without an end because its query differs each time.
+func TestACrashingPathEndsFewBackendServers(t *testing.T) {
+	fle := startCrashFleet(t, func(bac *standin.BackendServer) { bac.DownTime = 300 * time.Millisecond })
+	for number := range 3 * crashHosts {
+		fle.send(t.Context(), number, fmt.Sprint(crashPath, "?number=", number))
+		time.Sleep(500 * time.Millisecond)
+	}
+	require.LessOrEqual(t, fle.crashes(), int64(maxPathCrashes))
+}
--- a/core/call/call.go
+++ b/core/call/call.go
@@ -39,8 +39,11 @@
 	// RefuseWhenFull says that a gate refuses the call instead of queueing it if it would have to wait for a slot,
 	// because other gates can be asked.
 	RefuseWhenFull bool `json:"atOnce,omitempty"`
-	// Fingerprint identifies the content of the call for the quarantine of crashing calls.
+	// Fingerprint identifies the content of the call: its account, host, method, path and body.
 	Fingerprint uint64 `json:"fingerprint"`
+	// Variant tells apart the calls with one fingerprint that a backend server can tell apart, by their query and the header
+	// fields that choose a representation. The gate's node sets it; 0 means that there are no variants.
+	Variant uint64 `json:"-"`
 	// Regions are the only regions in which the call may run; nil means no restriction, and an empty list that it may run
 	// in none.
 	Regions []string `json:"regions,omitzero"`
--- a/core/gate/crash.go
+++ b/core/gate/crash.go
@@ -22,11 +22,22 @@
 	// announcementDelay is how late an announcement may arrive: one that arrives later after a call's failure was sent
 	// after it.
 	announcementDelay = 5 * time.Second
-	// maxFailed bounds the fingerprints of failed calls that the gate remembers.
+	// maxFailed bounds the contents of failed calls that the gate remembers.
 	maxFailed = 4096
 )
 
-// failure is what the gate remembers of the last failed call with a fingerprint: its time and the call's regions.
+// content identifies a call for the quarantine: by the fingerprint of its variant, and by that of all variants, or 0 if there
+// are no others.
+type content struct{ variant, common uint64 }
+
+func contentOf(cal call.Call) content {
+	if cal.Variant == 0 {
+		return content{variant: cal.Fingerprint}
+	}
+	return content{variant: cal.Variant, common: cal.Fingerprint}
+}
+
+// failure is what the gate remembers of the last failed call with a content: its time and the call's regions.
 type failure struct {
 	at      time.Time
 	regions []string
@@ -69,9 +80,11 @@
 	gat.quarantine.Import(records, time.Now())
 }
 
-// quarantined reports whether a call must not run because calls with its fingerprint crashed backend servers.
+// quarantined reports whether a call must not run because calls with its content crashed backend servers.
 func (gat *Gate) quarantined(cal call.Call, now time.Time) bool {
-	return gat.policy.On(gatepolicy.Quarantine) && cal.Fingerprint != 0 && gat.quarantine.Refuses(cal.Fingerprint, now)
+	con := contentOf(cal)
+	return gat.policy.On(gatepolicy.Quarantine) && con.variant != 0 &&
+		(gat.quarantine.Refuses(con.variant, now) || con.common != 0 && gat.quarantine.Refuses(con.common, now))
 }
 
 // ConfirmAlive reports that the backend server's process was heard from. Calls that failed more than announcementDelay
@@ -80,7 +93,7 @@
 	gat.mut.Lock()
 	defer gat.mut.Unlock()
 	now := time.Now()
-	maps.DeleteFunc(gat.failed, func(_ uint64, fai failure) bool { return now.Sub(fai.at) > announcementDelay })
+	maps.DeleteFunc(gat.failed, func(_ content, fai failure) bool { return now.Sub(fai.at) > announcementDelay })
 }
 
 // markSuspects records a death of the backend server's process. Suspects are the failed calls whose failure may have been
@@ -88,16 +101,16 @@
 func (gat *Gate) markSuspects() {
 	id, now := uuid.New(), time.Now()
 	dea := death.Death{Running: len(gat.running), Failed: len(gat.failed)}
-	for fin, fai := range gat.failed {
-		gat.quarantine.RecordCrash(crash.Crash{ID: id, Fingerprint: fin, At: now, Regions: fai.regions}, now)
-		dea.Suspects = append(dea.Suspects, fin)
+	for con, fai := range gat.failed {
+		gat.quarantine.RecordCrash(crash.Crash{ID: id, Fingerprint: con.variant, At: now, Regions: fai.regions}, con.common, now)
+		dea.Suspects = append(dea.Suspects, con.variant)
 	}
 	clear(gat.failed)
 	for exe := range gat.running {
 		if exe.deathID == uuid.Nil {
 			exe.deathID, exe.diedAt = id, now
 		}
-		if fin := exe.call.Fingerprint; fin != 0 && !slices.Contains(dea.Suspects, fin) {
+		if fin := contentOf(exe.call).variant; fin != 0 && !slices.Contains(dea.Suspects, fin) {
 			dea.Suspects = append(dea.Suspects, fin)
 		}
 	}
@@ -110,23 +123,25 @@
 	}
 }
 
-// updateQuarantine clears the fingerprint of a call that the backend server answered. A call that may have crashed the
+// updateQuarantine clears the content of a call that the backend server answered. A call that may have crashed the
 // backend server is refused with the reason quarantined, so that it is not retried. If the policy allows retries of
-// suspects and the fingerprint is not in quarantine, the reason is backendServerDown.
+// suspects and the content is not in quarantine, the reason is backendServerDown.
 func (gat *Gate) updateQuarantine(exe *execution, ans *answer.Answer, now time.Time) {
 	if !gat.policy.On(gatepolicy.Quarantine) {
 		return
 	}
-	fin := exe.call.Fingerprint
+	con := contentOf(exe.call)
 	switch {
 	case ans.Refusal == nil || ans.Refusal.Reason == reason.BackendServerError:
-		gat.quarantine.Clear(fin, now)
+		gat.quarantine.Clear(con.variant, now)
+		gat.quarantine.Clear(con.common, now)
 		return
 	case ans.Refusal.Outcome != outcome.Unknown:
 		return
 	case exe.deathID != uuid.Nil:
-		if fin != 0 {
-			gat.quarantine.RecordCrash(crash.Crash{ID: exe.deathID, Fingerprint: fin, At: exe.diedAt, Regions: exe.call.Regions}, now)
+		if con.variant != 0 {
+			cra := crash.Crash{ID: exe.deathID, Fingerprint: con.variant, At: exe.diedAt, Regions: exe.call.Regions}
+			gat.quarantine.RecordCrash(cra, con.common, now)
 		}
 	default:
 		gat.recordFailed(exe.call, now)
@@ -134,7 +149,7 @@
 			return
 		}
 	}
-	if gat.policy.RetrySuspects && !gat.quarantine.Refuses(fin, now) {
+	if gat.policy.RetrySuspects && !gat.quarantined(exe.call, now) {
 		ans.Refusal = refusal.Unknown(reason.BackendServerDown, "gate.suspect")
 		return
 	}
@@ -144,8 +159,9 @@
 // recordFailed remembers a call that ended without an answer until it is known whether the backend server's process
 // survived.
 func (gat *Gate) recordFailed(cal call.Call, now time.Time) {
-	if _, known := gat.failed[cal.Fingerprint]; cal.Fingerprint == 0 || !known && len(gat.failed) >= maxFailed {
+	con := contentOf(cal)
+	if _, known := gat.failed[con]; con.variant == 0 || !known && len(gat.failed) >= maxFailed {
 		return
 	}
-	gat.failed[cal.Fingerprint] = failure{at: now, regions: cal.Regions}
+	gat.failed[con] = failure{at: now, regions: cal.Regions}
 }
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -86,9 +86,9 @@
 	admissionLevel   *admissionlevel.Level
 	dedupe           *dedupe.Table
 	quarantine       *quarantine.List
-	// failed maps the fingerprints of calls that ended without an answer to the last failure. If the backend
+	// failed maps the contents of calls that ended without an answer to the last failure. If the backend
 	// server's process turns out to have died, they are suspects.
-	failed map[uint64]failure
+	failed map[content]failure
 	// serviceTime is the moving average of the time that calls take to run.
 	serviceTime time.Duration
 	// idle is nil until Drain is called, and is closed when no call runs or waits.
@@ -120,7 +120,7 @@
 	gat := &Gate{
 		state:   gateMachine.Initial(),
 		running: map[*execution]struct{}{},
-		failed:  map[uint64]failure{},
+		failed:  map[content]failure{},
 		refused: map[reason.Reason]uint64{},
 	}
 	gat.policy = pol.WithDefaults()
@@ -214,6 +214,7 @@
 		State: gat.state, Running: len(gat.running), Waiting: gat.queue.Len(), Limit: gat.limit(),
 		Executed: gat.executed, Duplicates: gat.duplicates, Refused: refused,
 		Level: gat.admissionLevel.Value(), DedupeEntries: kept, DedupeBytes: bytes, Quarantined: gat.quarantine.CountRefused(time.Now()),
+		CrashRecordsEvicted: gat.quarantine.Evicted(),
 	}
 }
 
--- a/core/gatestats/gatestats.go
+++ b/core/gatestats/gatestats.go
@@ -27,4 +27,6 @@
 	UnattributedDeaths uint64 `json:"unattributedDeaths"`
 	// Quarantined is the number of fingerprints in quarantine, whose calls are refused.
 	Quarantined int `json:"quarantined"`
+	// CrashRecordsEvicted is the number of crash records that were dropped because there were too many.
+	CrashRecordsEvicted uint64 `json:"crashRecordsEvicted"`
 }
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/google/uuid"
+
 	"flamingoreach/core/crash"
 	"flamingoreach/core/crash/record"
 )
@@ -13,6 +15,9 @@
 const (
 	// threshold is the number of crashes from which calls with a fingerprint are refused.
 	threshold = 2
+	// commonThreshold is the number of variants that have crashed backend servers from which all variants of a content are
+	// refused.
+	commonThreshold = 3
 	// retentionPeriods is how long the crashes of a fingerprint are kept after the last one, in periods. A fingerprint that
 	// crashes a backend server again after it was refused must be refused at once.
 	retentionPeriods = 10
@@ -32,13 +37,19 @@
 	Period time.Duration
 
 	entries map[uint64]suspect
+	evicted uint64
 	// revision counts the changes of the list.
 	revision uint64
 }
 
 // suspect is the list's record of one fingerprint.
 type suspect struct {
-	crashes []crash.Crash
+	// common is as in record.Record.
+	common bool
+	// causes is the result of countCauses at the list's revision causesAt.
+	causes   int
+	causesAt uint64
+	crashes  []crash.Crash
 	// cleared is the last time that a call with the fingerprint ran to its end; earlier crashes do not count.
 	cleared time.Time
 	// regions are those of the last crash, as in record.Record.
@@ -52,9 +63,18 @@
 	return &List{Period: period, entries: map[uint64]suspect{}}
 }
 
-// RecordCrash records that a call with a fingerprint may have crashed the backend server.
-func (lis *List) RecordCrash(cra crash.Crash, now time.Time) {
+// RecordCrash records that a call may have crashed the backend server. The crash has the fingerprint of the call's variant;
+// common is that of all variants, or 0 if there are no others.
+func (lis *List) RecordCrash(cra crash.Crash, common uint64, now time.Time) {
 	lis.update(cra.Fingerprint, now, false, func(sus *suspect) bool { return lis.addCrash(sus, cra, now) })
+	if common == 0 {
+		return
+	}
+	cra.Fingerprint = common
+	lis.update(common, now, false, func(sus *suspect) bool {
+		sus.common = true
+		return lis.addCrash(sus, cra, now)
+	})
 }
 
 // Clear discards the crashes of a fingerprint after a call with it ran to its end. Without crashes there is nothing to
@@ -69,12 +89,63 @@
 // Refuses reports whether calls with a fingerprint are refused.
 func (lis *List) Refuses(fingerprint uint64, now time.Time) bool {
 	sus := lis.entries[fingerprint]
-	return len(sus.crashes) >= threshold && now.Sub(sus.lastChange()) < lis.refusalTime(len(sus.crashes))
+	crashes, least := len(sus.crashes), threshold
+	if sus.common {
+		crashes, least = lis.countCauses(fingerprint), commonThreshold
+	}
+	return crashes >= least && now.Sub(sus.lastChange()) < min(lis.Period<<(crashes-least), maxRefusalPeriods*lis.Period)
+}
+
+// countCauses returns how many variants it takes to explain the crashes of a content: one that ran at several of them counts
+// once.
+func (lis *List) countCauses(common uint64) int {
+	sus := lis.entries[common]
+	if len(sus.crashes) < commonThreshold {
+		return len(sus.crashes)
+	}
+	if sus.causesAt != lis.revision {
+		sus.causes, sus.causesAt = lis.countExplanations(sus.crashes), lis.revision
+		lis.entries[common] = sus
+	}
+	return sus.causes
+}
+
+// countExplanations takes the variant that ran at most of the crashes, then the one that ran at most of the others, and so on.
+func (lis *List) countExplanations(crashes []crash.Crash) int {
+	left := make(map[uuid.UUID]bool, len(crashes))
+	for _, cra := range crashes {
+		left[cra.ID] = true
+	}
+	for count := 0; ; count++ {
+		explained := lis.mostExplained(left)
+		if len(explained) <= 1 {
+			return count + len(left)
+		}
+		for _, id := range explained {
+			delete(left, id)
+		}
+	}
 }
 
-// refusalTime returns how long a fingerprint with a number of crashes is refused after the last one.
-func (lis *List) refusalTime(crashes int) time.Duration {
-	return min(lis.Period<<(crashes-threshold), maxRefusalPeriods*lis.Period)
+// mostExplained returns the crashes, of those with the IDs, at which the variant ran that ran at most of them.
+func (lis *List) mostExplained(ids map[uuid.UUID]bool) []uuid.UUID {
+	var most []uuid.UUID
+	var chosen uint64
+	for fin, sus := range lis.entries {
+		if sus.common || len(sus.crashes) < len(most) {
+			continue
+		}
+		var explained []uuid.UUID
+		for _, cra := range sus.crashes {
+			if ids[cra.ID] {
+				explained = append(explained, cra.ID)
+			}
+		}
+		if cmp.Or(cmp.Compare(len(explained), len(most)), cmp.Compare(chosen, fin)) > 0 {
+			chosen, most = fin, explained
+		}
+	}
+	return most
 }
 
 // CountRefused returns the number of fingerprints that are refused.
@@ -88,6 +159,9 @@
 	return count
 }
 
+// Evicted returns the number of records that were removed because there were too many.
+func (lis *List) Evicted() uint64 { return lis.evicted }
+
 // Revision returns the revision of the latest change of the list.
 func (lis *List) Revision() uint64 { return lis.revision }
 
@@ -137,7 +211,7 @@
 	records := make([]record.Record, 0, len(changed))
 	for _, fin := range changed {
 		sus := lis.entries[fin]
-		records = append(records, record.Record{Fingerprint: fin, Crashes: sus.crashes, Cleared: sus.cleared, Regions: sus.regions})
+		records = append(records, record.Record{Fingerprint: fin, Common: sus.common, Crashes: sus.crashes, Cleared: sus.cleared, Regions: sus.regions})
 	}
 	return records, upTo
 }
@@ -150,6 +224,7 @@
 				// A record without crashes has regions too.
 				sus.regions = rec.Regions
 			}
+			sus.common = sus.common || rec.Common
 			changed := sus.clear(rec.Cleared)
 			for _, cra := range rec.Crashes {
 				cra.Regions = rec.Regions
@@ -164,7 +239,7 @@
 func (lis *List) update(fingerprint uint64, now time.Time, imported bool, apply func(sus *suspect) bool) {
 	sus, found := lis.entries[fingerprint]
 	if found && lis.expired(sus, now) {
-		sus = suspect{regions: sus.regions}
+		sus = suspect{common: sus.common, regions: sus.regions}
 	}
 	if !apply(&sus) {
 		return
@@ -219,6 +294,7 @@
 		}
 	}
 	delete(lis.entries, evicted)
+	lis.evicted++
 }
 
 func (lis *List) expired(sus suspect, now time.Time) bool {
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -17,7 +17,18 @@
 func recordCrash(lis *quarantine.List, fingerprints ...uint64) {
 	id := uuid.New()
 	for _, fin := range fingerprints {
-		lis.RecordCrash(crash.Crash{ID: id, Fingerprint: fin, At: time.Now()}, time.Now())
+		lis.RecordCrash(crash.Crash{ID: id, Fingerprint: fin, At: time.Now()}, 0, time.Now())
+	}
+}
+
+// common is the fingerprint that all variants have in common.
+const common = 1
+
+// recordCrashOf records one death with calls of variants.
+func recordCrashOf(lis *quarantine.List, variants ...uint64) {
+	id := uuid.New()
+	for _, variant := range variants {
+		lis.RecordCrash(crash.Crash{ID: id, Fingerprint: variant, At: time.Now()}, common, time.Now())
 	}
 }
 
@@ -93,6 +104,7 @@
 			crashes += len(rec.Crashes)
 		}
 		require.Equal(t, 4097, crashes, "2 crashes of one fingerprint and one of 4095 others")
+		require.Equal(t, uint64(905), lis.Evicted())
 	})
 }
 
@@ -137,7 +149,7 @@
 		first, second := quarantine.New(time.Minute), quarantine.New(time.Minute)
 		crashIn := func(regions ...string) {
 			time.Sleep(time.Second)
-			first.RecordCrash(crash.Crash{ID: uuid.New(), Fingerprint: 7, At: time.Now(), Regions: regions}, time.Now())
+			first.RecordCrash(crash.Crash{ID: uuid.New(), Fingerprint: 7, At: time.Now(), Regions: regions}, 0, time.Now())
 			pass(first, second)
 		}
 		for _, regions := range [][]string{{"r"}, {"r", "s"}, nil, {"s"}} {
@@ -158,7 +170,7 @@
 func TestAnExpiredRecordKeepsItsRegionsWhenItIsCleared(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		lis := quarantine.New(time.Minute)
-		lis.RecordCrash(crash.Crash{ID: uuid.New(), Fingerprint: 7, At: time.Now(), Regions: []string{"r"}}, time.Now())
+		lis.RecordCrash(crash.Crash{ID: uuid.New(), Fingerprint: 7, At: time.Now(), Regions: []string{"r"}}, 0, time.Now())
 		time.Sleep(time.Hour)
 		lis.Clear(7, time.Now())
 		require.Len(t, exported(lis), 1)
@@ -173,7 +185,7 @@
 		first, second, newcomer := quarantine.New(time.Minute), quarantine.New(time.Minute), quarantine.New(time.Minute)
 		recordCrash(first, 7)
 		time.Sleep(time.Second)
-		second.RecordCrash(crash.Crash{ID: uuid.New(), Fingerprint: 7, At: time.Now(), Regions: []string{"r"}}, time.Now())
+		second.RecordCrash(crash.Crash{ID: uuid.New(), Fingerprint: 7, At: time.Now(), Regions: []string{"r"}}, 0, time.Now())
 		pass(first, second)
 		require.Len(t, exported(second)[0].Crashes, 2)
 		require.Equal(t, []string{"r"}, exported(second)[0].Regions)
@@ -183,3 +195,61 @@
 		require.Equal(t, []string{"r"}, exported(newcomer)[0].Regions)
 	})
 }
+
+// Guards against a variant that crashes one backend server after another because its siblings are answered.
+func TestAnAnswerToOneVariantDoesNotClearAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lis := quarantine.New(time.Minute)
+		for range 2 {
+			recordCrashOf(lis, 7, 8)
+			time.Sleep(time.Second)
+			lis.Clear(8, time.Now())
+			lis.Clear(common, time.Now())
+		}
+		require.True(t, lis.Refuses(7, time.Now()))
+		require.False(t, lis.Refuses(8, time.Now()))
+		require.False(t, lis.Refuses(common, time.Now()))
+	})
+}
+
+// Guards against a crashing variant that puts its siblings in quarantine, also if it runs at several nodes at the same moment
+// and siblings run beside it.
+func TestACrashingVariantDoesNotPutItsSiblingsInQuarantine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := quarantine.New(time.Minute)
+		for node := range uint64(5) {
+			lis := quarantine.New(time.Minute)
+			recordCrashOf(lis, 100+node, 7, 200+node)
+			pass(lis, all)
+		}
+		require.True(t, all.Refuses(7, time.Now()))
+		require.False(t, all.Refuses(common, time.Now()), "one variant explains all deaths")
+		require.False(t, all.Refuses(100, time.Now()))
+		require.Equal(t, 1, all.CountRefused(time.Now()))
+	})
+}
+
+// Guards against a content that crashes backend servers without an end because its query differs each time, also if each
+// variant crashes two.
+func TestAContentIsRefusedAfterThreeVariantsHaveCrashed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lis, other := quarantine.New(time.Minute), quarantine.New(time.Minute)
+		for variant := range uint64(3) {
+			require.False(t, lis.Refuses(common, time.Now()))
+			recordCrashOf(lis, 7+variant)
+			if variant < 2 {
+				recordCrashOf(lis, 7+variant)
+			}
+			time.Sleep(time.Second)
+		}
+		pass(lis, other)
+		require.True(t, other.Refuses(common, time.Now()))
+		time.Sleep(time.Minute)
+		require.False(t, other.Refuses(common, time.Now()))
+		recordCrashOf(other, 10)
+		time.Sleep(2*time.Minute - time.Nanosecond)
+		require.True(t, other.Refuses(common, time.Now()), "a further crash refuses it for twice the time")
+		other.Clear(common, time.Now())
+		require.False(t, other.Refuses(common, time.Now()), "an answer to any variant ends the refusal")
+	})
+}
--- a/io/crashlink/crashlink_test.go
+++ b/io/crashlink/crashlink_test.go
@@ -168,6 +168,24 @@
 	require.False(t, first.refuses())
 }
 
+// Guards against a record of several variants that another node takes for one of a single variant, and refuses too early.
+func TestARecordThatVariantsHaveInCommonIsSentAsOne(t *testing.T) {
+	first, second := newNode(t), newNode(t)
+	first.know(second)
+	rec := record.Record{Fingerprint: fingerprint, Common: true}
+	for range 2 {
+		rec.Crashes = append(rec.Crashes, crash.Crash{ID: uuid.New(), Fingerprint: fingerprint, At: time.Now()})
+	}
+	first.gate.AddCrashRecords([]record.Record{rec})
+	// The second node gets the record as the first one has a crash of its own to send.
+	first.run(t, true)
+	require.Eventually(t, func() bool { return second.gate.KnowsCrashes(fingerprint) }, testTime, 10*time.Millisecond)
+	records, _ := second.gate.CrashRecords(0, second.gate.CrashRevision())
+	require.Len(t, records, 1)
+	require.True(t, records[0].Common)
+	require.Len(t, records[0].Crashes, 3)
+}
+
 // Guards against a record of a restricted call that reaches a node outside the call's regions: from the node that ran the
 // call, or from one that passes it on to a node that becomes known.
 func TestARecordOfARestrictedCallStaysInItsRegions(t *testing.T) {
--- a/io/crashlink/message.go
+++ b/io/crashlink/message.go
@@ -18,6 +18,8 @@
 	ClearedAge *time.Duration `json:"clearedAge,omitempty" cbor:"3,keyasint,omitempty"`
 	// Regions are the only regions whose nodes may have the record; nil means no restriction.
 	Regions []string `json:"regions,omitempty" cbor:"4,keyasint,omitempty"`
+	// Common is that of record.Record.
+	Common bool `json:"common,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
 // crashMessage is one crash of a recordMessage.
@@ -29,7 +31,7 @@
 func encodeRecords(records []record.Record, now time.Time) []recordMessage {
 	messages := make([]recordMessage, 0, len(records))
 	for _, rec := range records {
-		msg := recordMessage{Fingerprint: rec.Fingerprint, Regions: rec.Regions}
+		msg := recordMessage{Fingerprint: rec.Fingerprint, Common: rec.Common, Regions: rec.Regions}
 		for _, cra := range rec.Crashes {
 			msg.Crashes = append(msg.Crashes, crashMessage{ID: cra.ID, Age: now.Sub(cra.At)})
 		}
@@ -49,7 +51,7 @@
 		if msg.Fingerprint == 0 {
 			continue
 		}
-		rec := record.Record{Fingerprint: msg.Fingerprint, Regions: msg.Regions}
+		rec := record.Record{Fingerprint: msg.Fingerprint, Common: msg.Common, Regions: msg.Regions}
 		for _, cra := range msg.Crashes {
 			rec.Crashes = append(rec.Crashes, crash.Crash{ID: cra.ID, Fingerprint: msg.Fingerprint, At: now.Add(-max(cra.Age, 0))})
 		}
--- a/io/crashlink/table.go
+++ b/io/crashlink/table.go
@@ -9,9 +9,12 @@
 	"flamingoreach/io/dispatcher"
 )
 
-// minTableCrashes is the number of crashes from which a record is kept in the table: those of one crash are many and
-// seldom matter.
-const minTableCrashes = 2
+// minTableCrashes and minCommonTableCrashes are the numbers of crashes from which a record of a variant, and one that is
+// common to several, are kept in the table: those of fewer crashes are many and seldom matter.
+const (
+	minTableCrashes       = 2
+	minCommonTableCrashes = 3
+)
 
 // Table keeps the crash records of one service on the platform, except those that are restricted to regions. A node reads
 // them when it starts, and writes those that it has changed itself.
@@ -92,7 +95,11 @@
 			// Every node of the service reads the table. A row from before the restriction is deleted.
 			rec.Crashes = nil
 		}
-		if len(rec.Crashes) >= minTableCrashes || len(rec.Crashes) == 0 && tab.kept[rec.Fingerprint] {
+		least := minTableCrashes
+		if rec.Common {
+			least = minCommonTableCrashes
+		}
+		if len(rec.Crashes) >= least || len(rec.Crashes) == 0 && tab.kept[rec.Fingerprint] {
 			records = append(records, rec)
 		}
 	}
--- a/io/hostnode/calls.go
+++ b/io/hostnode/calls.go
@@ -200,6 +200,7 @@
 		return ans, message.Message{}
 	}
 	nod.recordLateCall(cal)
+	cal.Variant = msg.Variant(cal.Fingerprint)
 	delivers := false
 	if deliver := msg.Deliver; deliver != nil {
 		msg.Deliver = func(ctx context.Context, ans answer.Answer, reply message.Message, body io.Reader) error {
@@ -240,7 +241,8 @@
 		return
 	}
 	nod.gateLog.Write("gate refused", "requestId", cal.RequestID, "callId", cal.ID, "route", cal.Route, "step", ans.Refusal.Step,
-		"reason", ans.Refusal.Reason, "outcome", ans.Refusal.Outcome, "load", ans.Load, "fingerprint", cal.Fingerprint)
+		"reason", ans.Refusal.Reason, "outcome", ans.Refusal.Outcome, "load", ans.Load,
+		"fingerprint", cal.Fingerprint, "variant", cal.Variant)
 }
 
 // recordEnd logs and counts the end of a request that began on this host.
--- a/io/hostnode/node.go
+++ b/io/hostnode/node.go
@@ -252,6 +252,7 @@
 	nod.metrics.Gauge("gate_deaths", func() float64 { return float64(nod.gate.Stats().Deaths) })
 	nod.metrics.Gauge("gate_unattributed_deaths", func() float64 { return float64(nod.gate.Stats().UnattributedDeaths) })
 	nod.metrics.Gauge("gate_quarantined", func() float64 { return float64(nod.gate.Stats().Quarantined) })
+	nod.metrics.Gauge("gate_crash_records_evicted", func() float64 { return float64(nod.gate.Stats().CrashRecordsEvicted) })
 	nod.metrics.Gauge("gate_cold", func() float64 {
 		if _, cold := nod.pacer.Rate(time.Now()); cold {
 			return 1
--- a/io/node/calls.go
+++ b/io/node/calls.go
@@ -149,6 +149,7 @@
 		nod.metrics.CountRefusal("gate", ref.Reason)
 		return answer.Answer{CallID: cal.ID, AllowanceLeft: cal.Allowance, Refusal: ref}, message.Message{}
 	}
+	cal.Variant = msg.Variant(cal.Fingerprint)
 	ans, payload := nod.gate.Run(ctx, cal, func(ctx context.Context) (answer.Answer, any) {
 		address := nod.backendServerAddress.Load()
 		if address == nil {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -277,6 +277,7 @@
 	nod.metrics.Gauge("gate_deaths", func() float64 { return float64(nod.gate.Stats().Deaths) })
 	nod.metrics.Gauge("gate_unattributed_deaths", func() float64 { return float64(nod.gate.Stats().UnattributedDeaths) })
 	nod.metrics.Gauge("gate_quarantined", func() float64 { return float64(nod.gate.Stats().Quarantined) })
+	nod.metrics.Gauge("gate_crash_records_evicted", func() float64 { return float64(nod.gate.Stats().CrashRecordsEvicted) })
 	nod.metrics.Gauge("crash_sends_failed", func() float64 { return float64(nod.crashLink.FailedSends()) })
 	nod.metrics.Gauge("ejections", func() float64 { return float64(nod.picker.Ejections()) })
 	nod.metrics.Gauge("configuration_version", func() float64 { return float64(nod.version()) })
