Add pipelined clients and siblings of crashing requests to the soak

The soak's callers sent one request at a time, and what ran beside its crashing request had other paths, so it could not show that a stop drops pipelined answers that run, nor that siblings of a crashing request clear its record or share its refusal.

A pipelined client of each host sends rows of ten requests of two idempotent routes; what is behind an answer that ends the connection must not have run. Before each send of the crashing request goes one with another query, which must not be refused as crashing.

--- a/io/pipeline/room_test.go
+++ b/io/pipeline/room_test.go
@@ -184,3 +184,26 @@
 		})
 	}
 }
+
+// Guards against a planned stop that drops an answer whose handler waits for its turn, because there was no room for it.
+func TestAStopSendsTheAnswersThatHaveNoRoom(t *testing.T) {
+	long := strings.Repeat("x", 2*roomBytes)
+	ser := serve(t, func(wri http.ResponseWriter, req *http.Request) {
+		if req.URL.RawQuery != "1" {
+			_, _ = io.WriteString(wri, long)
+		}
+	})
+	_, reader := connect(t, ser, get(200*time.Millisecond, 1)+get(0, 2)+get(0, 3)+get(0, 4))
+	require.Eventually(t, func() bool { return ser.count("end") == 3 }, 5*time.Second, time.Millisecond)
+	closed := make(chan error, 1)
+	go func() { closed <- ser.close(t.Context()) }()
+	receiveNumbers(t, reader, 1, 1)
+	for number := 2; number <= 4; number++ {
+		ans := receive(t, reader)
+		require.Equal(t, long+fmt.Sprint(number), ans.text)
+		require.Equal(t, number == 4, ans.close)
+	}
+	requireEnd(t, reader)
+	require.NoError(t, <-closed)
+	require.Zero(t, ser.pip.Cancelled())
+}
--- a/soak/crash.go
+++ b/soak/crash.go
@@ -5,8 +5,11 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
+	"flamingoreach/core/outcome"
+	"flamingoreach/core/reason"
 	"flamingoreach/io/dispatcher"
 	"flamingoreach/platform/standin"
 )
@@ -27,11 +30,19 @@
 	crashesBefore    = 3
 )
 
-// sendCrashingRequests sends one request that crashes the backend servers that run it, again and again.
+// sendCrashingRequests sends one request that crashes the backend servers that run it, again and again, and before each a
+// sibling that differs from it in its query.
 func (fle *Fleet) sendCrashingRequests(ctx context.Context, ran *rand.Rand) {
 	path := fmt.Sprintf("%s%08x", crashPath, ran.Uint32())
 	for number := range crashSends {
 		cal := standin.NewCaller(fle.hosts[ran.IntN(len(fle.hosts))].callers)
+		sibling := fmt.Sprintf("sibling-%s-%d", path, number)
+		rep, _ := cal.Send(ctx, standin.Request{
+			ID: sibling, Method: http.MethodGet, Host: requestHost, Path: fmt.Sprint(path, "?number=", number), Key: fle.key(1).text, Timeout: requestTimeout,
+		})
+		if strings.HasPrefix(rep.Body, string(reason.Quarantined)+", "+outcome.NotRun.String()) {
+			fle.ledger.addViolation("no wrongful refusal", "%s was refused with the crashing request", sibling)
+		}
 		// The caller gets no answer from a backend server, and what it gets from its node is not judged.
 		_, _ = cal.Send(ctx, standin.Request{
 			ID: fmt.Sprintf("%s-%d", path, number), Method: http.MethodGet, Host: requestHost, Path: path, Key: fle.key(1).text, Timeout: requestTimeout,
--- a/soak/host.go
+++ b/soak/host.go
@@ -74,6 +74,7 @@
 			fleet.checkEvacuation(hos, exe.ID)
 		},
 		ListenAddress: netip.AddrPortFrom(address, backendPort+linkedPortOffset), CrashPath: crashPath, DownTime: backendDownTime,
+		CrashIf:  func(req *http.Request) bool { return req.URL.RawQuery == "" },
 		ColdTime: backendColdTime, ColdBound: standin.ColdBound,
 		OnColdExcess: func(id string) {
 			fleet.ledger.addViolation("cold", "%s was above the bound of a cold backend server of %s", id, service)
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -36,6 +36,8 @@
 	services         map[string]string
 	answers          map[string]callerAnswer
 	greedyExecutions []time.Time
+	// notRun holds the requests of pipelined clients behind an answer that ended their connection.
+	notRun []string
 	// crashes holds the times at which each crashing request ran, by its path.
 	crashes    map[string][]time.Time
 	violations []Violation
@@ -81,7 +83,7 @@
 	defer led.mut.Unlock()
 	led.executions[exe.ID]++
 	led.services[exe.ID] = exe.Service
-	if strings.HasPrefix(exe.Path, crashPath) {
+	if strings.HasPrefix(exe.ID, crashPath) {
 		led.crashes[exe.Path] = append(led.crashes[exe.Path], time.Now())
 	}
 	if greedy {
@@ -101,6 +103,13 @@
 	led.answers[id] = answer
 }
 
+// recordNotRun records that a node has told that a request has not run.
+func (led *ledger) recordNotRun(id string) {
+	led.mut.Lock()
+	defer led.mut.Unlock()
+	led.notRun = append(led.notRun, id)
+}
+
 // service returns the service at which a request ran last.
 func (led *ledger) service(id string) string {
 	led.mut.Lock()
@@ -133,6 +142,11 @@
 			led.violations = append(led.violations, Violation{"own answer", id + " was served and did not run"})
 		}
 	}
+	for _, id := range led.notRun {
+		if led.executions[id] > 0 {
+			led.violations = append(led.violations, Violation{"not run", id + " ran and was behind an answer that ended its connection"})
+		}
+	}
 	led.checkRate()
 	led.checkCrashes()
 	return led.violations
--- a/soak/run.go
+++ b/soak/run.go
@@ -64,6 +64,8 @@
 			cli := &client{name: fmt.Sprintf("%d-%s-%d", pla.Seed, hos.name, number), host: hos, fleet: fle, caller: standin.NewCaller(hos.callers)}
 			loops.Go(func() { cli.run(sending) })
 		}
+		pipelined := &pipelinedClient{name: fmt.Sprintf("%d-%s-pipelined", pla.Seed, hos.name), address: hos.callers, fleet: fle}
+		loops.Go(func() { pipelined.run(sending) })
 		greedy := &greedyClient{name: fmt.Sprintf("%s-%d-%s", greedyName, pla.Seed, hos.name), ledger: fle.ledger, caller: standin.NewCaller(hos.callers)}
 		loops.Go(func() { greedy.run(sending) })
 	}
