--- a/io/message/variant.go
+++ b/io/message/variant.go
@@ -19,7 +19,8 @@
 	if common == 0 {
 		return 0
 	}
-	dig := xxhash.New()
+	var dig xxhash.Digest
+	dig.Reset()
 	var number [8]byte
 	binary.LittleEndian.PutUint64(number[:], common)
 	_, _ = dig.Write(number[:])
@@ -27,8 +28,9 @@
 	_, _ = dig.WriteString(query)
 	for _, name := range selecting {
 		for _, value := range msg.Header[name] {
-			_, _ = dig.WriteString("\n" + name + ":")
-			_, _ = dig.WriteString(value)
+			for _, text := range []string{"\n", name, ":", value} {
+				_, _ = dig.WriteString(text)
+			}
 		}
 	}
 	return dig.Sum64()
--- a/soak/pipelined.go
+++ b/soak/pipelined.go
@@ -14,10 +14,8 @@
 	"flamingoreach/io/dispatcher"
 )
 
-const (
-	// rowRequests is the number of requests that a pipelined client sends at once, more than a node runs at the same time.
-	rowRequests = 10
-)
+// rowRequests is the number of requests that a pipelined client sends at once, more than a node runs at the same time.
+const rowRequests = 10
 
 // idempotentPaths are the paths of the routes whose requests run at the same time for one connection.
 var idempotentPaths = [...]string{"/quotes/", movingPath}
