Encode the soak's pipelined requests where the platform's names belong

The pipelined client wrote the names of header fields of the users' platform itself. standin.Request.Write encodes a request for it, as Caller.Send does.

--- a/soak/pipelined.go
+++ b/soak/pipelined.go
@@ -2,16 +2,17 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
-	"strings"
 	"time"
 
 	"flamingoreach/io/dispatcher"
+	"flamingoreach/platform/standin"
 )
 
 // rowRequests is the number of requests that a pipelined client sends at once, more than a node runs at the same time.
@@ -54,17 +55,21 @@
 
 // exchange sends a row and reads its answers. It reports whether the connection can be used for another row.
 func (cli *pipelinedClient) exchange(con net.Conn, reader *bufio.Reader, row string) bool {
-	var heads strings.Builder
-	for number := range rowRequests {
-		id := fmt.Sprintf("%s-%d", row, number)
-		path := idempotentPaths[number%len(idempotentPaths)]
-		fmt.Fprintf(&heads, "GET %s%s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Bearer %s\r\n\r\n",
-			path, id, requestHost, id, requestTimeout.Milliseconds(), cli.fleet.key(1).text)
-	}
 	if con.SetDeadline(time.Now().Add(2*requestTimeout)) != nil {
 		return false
 	}
-	if _, err := io.WriteString(con, heads.String()); err != nil {
+	var text bytes.Buffer
+	for number := range rowRequests {
+		id := fmt.Sprintf("%s-%d", row, number)
+		err := standin.Request{
+			ID: id, Method: http.MethodGet, Host: requestHost, Path: idempotentPaths[number%len(idempotentPaths)] + id,
+			Key: cli.fleet.key(1).text, Timeout: requestTimeout,
+		}.Write(&text, cli.address)
+		if err != nil {
+			return false
+		}
+	}
+	if _, err := text.WriteTo(con); err != nil {
 		return false
 	}
 	for number := range rowRequests {
